Lay out the package: design page, core types, checks

Cause: the repository was empty; parts that are written in parallel need fixed interfaces first. Conclusion: the frame stands; every part is still to be written.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test format
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m cranberryseam.experiments.demo
+
+test: $(STAMP)
+	$(VENV)/bin/ruff format --check src tests benchmarks
+	$(VENV)/bin/ruff check src tests benchmarks
+	$(VENV)/bin/flake8 src
+	$(VENV)/bin/mypy
+	$(VENV)/bin/python -m pytest
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --fix src tests benchmarks
+	$(VENV)/bin/ruff format src tests benchmarks
--- /dev/null
+++ b/src/cranberryseam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/src/cranberryseam/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, the two lists, and the settings."""
--- /dev/null
+++ b/src/cranberryseam/configuration/entries.py
@@ -0,0 +1,175 @@
+"""Entries of the control log and how each changes the configuration."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import attrs
+import msgspec
+
+from ..types import AccountId, KeyId
+from .model import Account, Configuration, Key, Lists, Plan, Route, Service
+
+_Row = TypeVar('_Row', Account, Plan, Route, Service)
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all entries; each has its own integer tag."""
+
+
+class FleetInitialised(Entry, frozen=True, array_like=True, tag=1):
+    """First entry of a log; ``wall_s`` is Unix time."""
+
+    wall_s: float
+
+
+class ListsChanged(Entry, frozen=True, array_like=True, tag=2):
+    """Difference between the lists in force and the ones applied."""
+
+    command_key: str
+    accounts: tuple[Account, ...] = ()
+    plans: tuple[Plan, ...] = ()
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    removed_accounts: tuple[str, ...] = ()
+    removed_plans: tuple[str, ...] = ()
+    removed_routes: tuple[str, ...] = ()
+    removed_services: tuple[str, ...] = ()
+
+
+class KeyGranted(Entry, frozen=True, array_like=True, tag=3):
+    """A key for an account."""
+
+    command_key: str
+    key_id: KeyId
+    account: AccountId
+    key_hash: bytes
+
+
+class KeyWithdrawn(Entry, frozen=True, array_like=True, tag=4):
+    """A key that never works again."""
+
+    command_key: str
+    key_id: KeyId
+
+
+class NothingChanged(Entry, frozen=True, array_like=True, tag=5):
+    """First entry of a leader's term, and membership records."""
+
+
+AnyEntry = (
+    FleetInitialised | ListsChanged | KeyGranted | KeyWithdrawn | NothingChanged
+)
+
+
+def apply_entry(
+    before: Configuration, version: int, entry: Entry
+) -> Configuration:
+    """Return the configuration after an entry.
+
+    Parameters
+    ----------
+    version
+        Version of the entry; one more than that of ``before``.
+
+    """
+    match entry:
+        case FleetInitialised(wall_s=wall_s):
+            return _evolve(before, version, initialised_wall_s=wall_s)
+        case ListsChanged():
+            return _apply_lists(before, version, entry)
+        case KeyGranted():
+            key = Key(entry.key_id, entry.account, entry.key_hash)
+            keys = {**before.keys, key.key_id: key}
+            return _evolve(before, version, keys=keys)
+        case KeyWithdrawn(key_id=key_id):
+            withdrawn = before.withdrawn | {key_id}
+            return _evolve(before, version, withdrawn=withdrawn)
+    return _evolve(before, version)
+
+
+def diff_lists(
+    before: Configuration, lists: Lists, command_key: str
+) -> ListsChanged:
+    """Return the entry that turns the lists in force into others."""
+    return ListsChanged(
+        command_key=command_key,
+        accounts=_changed_rows(before.accounts, lists.accounts),
+        plans=_changed_rows(before.plans, lists.plans),
+        routes=_changed_rows(before.routes, lists.routes),
+        services=_changed_rows(before.services, lists.services),
+        removed_accounts=_removed_names(before.accounts, lists.accounts),
+        removed_plans=_removed_names(before.plans, lists.plans),
+        removed_routes=_removed_names(before.routes, lists.routes),
+        removed_services=_removed_names(before.services, lists.services),
+    )
+
+
+def list_rows(configuration: Configuration) -> Lists:
+    """Return the two lists in force."""
+    return Lists(
+        accounts=tuple(configuration.accounts.values()),
+        plans=tuple(configuration.plans.values()),
+        routes=tuple(configuration.routes.values()),
+        services=tuple(configuration.services.values()),
+    )
+
+
+def _evolve(
+    before: Configuration, version: int, **changes: object
+) -> Configuration:
+    fields: dict[str, object] = {'version': version, **changes}
+    return attrs.evolve(before, **fields)  # type: ignore[arg-type]
+
+
+def _apply_lists(
+    before: Configuration, version: int, entry: ListsChanged
+) -> Configuration:
+    return _evolve(
+        before,
+        version,
+        lists_version=version,
+        accounts=_merge_rows(
+            before.accounts, entry.accounts, entry.removed_accounts
+        ),
+        plans=_merge_rows(before.plans, entry.plans, entry.removed_plans),
+        routes=_merge_rows(before.routes, entry.routes, entry.removed_routes),
+        services=_merge_rows(
+            before.services, entry.services, entry.removed_services
+        ),
+    )
+
+
+def _merge_rows(
+    before: object, rows: tuple[_Row, ...], removed: tuple[str, ...]
+) -> dict[str, _Row]:
+    merged: dict[str, _Row] = dict(before)  # type: ignore[call-overload]
+    for name in removed:
+        merged.pop(name, None)
+    merged.update({str(row.name): row for row in rows})
+    return merged
+
+
+def _changed_rows(before: object, rows: tuple[_Row, ...]) -> tuple[_Row, ...]:
+    known: dict[str, _Row] = dict(before)  # type: ignore[call-overload]
+    return tuple(row for row in rows if known.get(str(row.name)) != row)
+
+
+def _removed_names(before: object, rows: tuple[_Row, ...]) -> tuple[str, ...]:
+    kept = {str(row.name) for row in rows}
+    names: dict[str, _Row] = dict(before)  # type: ignore[call-overload]
+    return tuple(name for name in names if name not in kept)
+
+
+__all__ = (
+    'AnyEntry',
+    'Entry',
+    'FleetInitialised',
+    'KeyGranted',
+    'KeyWithdrawn',
+    'ListsChanged',
+    'NothingChanged',
+    'apply_entry',
+    'diff_lists',
+    'list_rows',
+)
--- /dev/null
+++ b/src/cranberryseam/configuration/settings.py
@@ -0,0 +1,156 @@
+"""Settings of one process, read from TOML."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..types import VmId
+
+
+@attrs.frozen
+class VmSettings:
+    """Identity of this VM."""
+
+    name: str
+    region: str
+    data_centre: str
+    roles: tuple[str, ...] = ('entry',)
+
+
+@attrs.frozen
+class Addresses:
+    """Addresses (``ip:port``) that this process listens on."""
+
+    peers: str
+    callers: str = ''
+    targets: str = ''
+    admin: str = ''
+
+
+@attrs.frozen
+class PeerSettings:
+    """Another VM that is known from the start."""
+
+    name: str
+    region: str
+    data_centre: str
+    address: str
+    roles: tuple[str, ...] = ('entry',)
+
+
+@attrs.frozen
+class GroupSettings:
+    """A replica group of three VMs of one region."""
+
+    name: str
+    region: str
+    vms: tuple[str, ...]
+
+
+@attrs.frozen
+class ControlSettings:
+    """The control replicas and the data folder of this one."""
+
+    replicas: tuple[str, ...] = ()
+    data_folder: str = ''
+
+
+@attrs.frozen
+class KeySettings:
+    """Freshness of keys; see ``docs/design.md``, withdrawn keys.
+
+    Parameters
+    ----------
+    isolation
+        ``vm`` or ``region``.
+
+    """
+
+    freshness_s: float = 5.0
+    isolation: str = 'vm'
+
+
+@attrs.frozen
+class StatsdSettings:
+    """Where metrics go; nowhere without a port."""
+
+    host: str = '127.0.0.1'
+    port: int = 0
+    prefix: str = 'cranberryseam'
+
+
+@attrs.frozen
+class AdminSettings:
+    """Hash (hex) of the operators' key; without one the API takes none."""
+
+    key_hash: str = ''
+
+
+@attrs.frozen
+class RequestSettings:
+    """Bounds of a request.
+
+    Parameters
+    ----------
+    utc_offset_minutes
+        Offset of the local time that deadlines by time of day refer to.
+
+    """
+
+    most_body_bytes: int = 8_388_608
+    most_header_bytes: int = 32_768
+    body_timeout_s: float = 30.0
+    drain_limit_s: float = 30.0
+    drain_grace_s: float = 1.0
+    utc_offset_minutes: int = 0
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one process.
+
+    Parameters
+    ----------
+    regions
+        Names of all regions of the fleet.
+    seed
+        Seed of the reducer's random numbers; 0 lets the daemon draw one.
+
+    """
+
+    vm: VmSettings
+    addresses: Addresses
+    regions: tuple[str, ...]
+    peers: tuple[PeerSettings, ...] = ()
+    groups: tuple[GroupSettings, ...] = ()
+    control: ControlSettings = ControlSettings()
+    keys: KeySettings = KeySettings()
+    requests: RequestSettings = RequestSettings()
+    statsd: StatsdSettings = StatsdSettings()
+    admin: AdminSettings = AdminSettings()
+    seed: int = 0
+    log_level: str = 'INFO'
+
+    @property
+    def vm_id(self) -> VmId:
+        """Name of this VM as an identifier."""
+        return VmId(self.vm.name)
+
+    @property
+    def region_names(self) -> tuple[str, ...]:
+        """All regions, sorted by name."""
+        return tuple(sorted(self.regions))
+
+
+__all__ = (
+    'Addresses',
+    'AdminSettings',
+    'ControlSettings',
+    'GroupSettings',
+    'KeySettings',
+    'PeerSettings',
+    'RequestSettings',
+    'Settings',
+    'StatsdSettings',
+    'VmSettings',
+)
--- /dev/null
+++ b/src/cranberryseam/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated configuration log."""
--- /dev/null
+++ b/src/cranberryseam/core/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer, its events, effects and notices, and the wire codec."""
--- /dev/null
+++ b/src/cranberryseam/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process: event loop, effects, sockets, logs, metrics."""
--- /dev/null
+++ b/src/cranberryseam/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in targets, load tool and policy driver."""
--- /dev/null
+++ b/src/cranberryseam/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership gossip and distribution of configuration."""
--- /dev/null
+++ b/src/cranberryseam/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys and stored answers."""
--- /dev/null
+++ b/src/cranberryseam/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Key table and key freshness."""
--- /dev/null
+++ b/src/cranberryseam/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts across all VMs."""
--- /dev/null
+++ b/src/cranberryseam/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Replica groups and the lease of their leader."""
--- /dev/null
+++ b/src/cranberryseam/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The state machine of one request."""
--- /dev/null
+++ b/src/cranberryseam/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target, failure detection, ejection and queues."""
--- /dev/null
+++ b/src/cranberryseam/serving/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces to callers, targets and operators."""
