--- /dev/null
+++ b/src/cranberryseam/configuration/files.py
@@ -0,0 +1,132 @@
+"""Reading and checking of the settings file."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from ..core.errors import InvalidInput
+from .documents import InvalidDocument, read_document
+from .settings import Settings
+
+ROLES: Final = ('entry', 'control')
+ISOLATION_SCOPES: Final = ('vm', 'region')
+GROUP_SIZE: Final = 3
+LARGEST_PORT: Final = 65535
+
+_Problems = Iterator[tuple[str, str, str]]
+
+
+def load_settings(path: str) -> Result[Settings, InvalidDocument]:
+    """Return the checked settings of a file."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        problem = InvalidInput(path, '(file)', str(error), 'a readable file')
+        return Error(InvalidDocument((problem,)))
+    return parse_settings(path, text)
+
+
+def parse_settings(source: str, text: str) -> Result[Settings, InvalidDocument]:
+    """Return checked settings, or all problems found."""
+    parsed = read_document(source, text, Settings)
+    if parsed.is_error():
+        return Error(parsed.error)
+    problems = tuple(
+        InvalidInput(source, key, came, expected)
+        for key, came, expected in _check_settings(parsed.ok)
+    )
+    if problems:
+        return Error(InvalidDocument(problems))
+    return Ok(parsed.ok)
+
+
+def _check_settings(settings: Settings) -> _Problems:
+    yield from _check_vm(settings)
+    yield from _check_addresses(settings)
+    yield from _check_control(settings)
+    yield from _check_groups(settings)
+    if settings.keys.isolation not in ISOLATION_SCOPES:
+        came = repr(settings.keys.isolation)
+        yield 'keys.isolation', came, _one_of(ISOLATION_SCOPES)
+    if settings.keys.freshness_s <= 0:
+        yield 'keys.freshness_s', str(settings.keys.freshness_s), 'above 0'
+
+
+def _check_vm(settings: Settings) -> _Problems:
+    for role in settings.vm.roles:
+        if role not in ROLES:
+            yield 'vm.roles', repr(role), _one_of(ROLES)
+    if not settings.vm.roles:
+        yield 'vm.roles', 'none', _one_of(ROLES)
+    if settings.vm.region not in settings.regions:
+        yield 'vm.region', repr(settings.vm.region), _one_of(settings.regions)
+    names = [peer.name for peer in settings.peers]
+    if len(set(names)) != len(names) or settings.vm.name in names:
+        yield 'peers', 'a VM name twice', 'each VM once, without this one'
+    for peer in settings.peers:
+        if peer.region not in settings.regions:
+            yield 'peers', repr(peer.region), _one_of(settings.regions)
+
+
+def _check_addresses(settings: Settings) -> _Problems:
+    addresses = settings.addresses
+    named = [
+        ('addresses.peers', addresses.peers),
+        ('addresses.callers', addresses.callers),
+        ('addresses.targets', addresses.targets),
+        ('addresses.admin', addresses.admin),
+    ]
+    named += [(f'peers.{peer.name}', peer.address) for peer in settings.peers]
+    for key, address in named:
+        required = key != 'addresses.targets' and key != 'addresses.admin'
+        needed = 'entry' in settings.vm.roles or key != 'addresses.callers'
+        if address or (required and needed):
+            yield from _check_address(key, address)
+
+
+def _check_address(key: str, address: str) -> _Problems:
+    host, _colon, port = address.rpartition(':')
+    try:
+        ip_address(host.strip('[]'))
+    except ValueError:
+        yield key, repr(address), 'an IP address with port, "127.0.0.1:80"'
+        return
+    if not port.isdecimal() or not 0 < int(port) <= LARGEST_PORT:
+        yield key, repr(address), f'a port from 1 to {LARGEST_PORT}'
+
+
+def _check_control(settings: Settings) -> _Problems:
+    control = settings.control
+    known = {settings.vm.name, *(peer.name for peer in settings.peers)}
+    for name in control.replicas:
+        if name not in known:
+            yield 'control.replicas', repr(name), 'the VM or one of its peers'
+    if 'control' not in settings.vm.roles:
+        return
+    if not control.data_folder:
+        yield 'control.data_folder', 'nothing', 'a folder on a disk'
+    if settings.vm.name not in control.replicas:
+        yield 'control.replicas', str(control.replicas), 'this VM among them'
+
+
+def _check_groups(settings: Settings) -> _Problems:
+    names = [group.name for group in settings.groups]
+    if len(set(names)) != len(names):
+        yield 'groups', 'a name twice', 'different names'
+    for group in settings.groups:
+        if len(set(group.vms)) != GROUP_SIZE:
+            key = f'groups.{group.name}.vms'
+            yield key, str(group.vms), f'{GROUP_SIZE} different VMs'
+
+
+def _one_of(names: tuple[str, ...]) -> str:
+    listed = ', '.join(names)
+    return f'one of {listed}'
+
+
+__all__ = ('load_settings', 'parse_settings')
--- a/src/cranberryseam/configuration/model.py
+++ b/src/cranberryseam/configuration/model.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from xxhash import xxh64_intdigest
 
 from ..types import AccountId, KeyId, RegionName, ServiceName
 
@@ -206,7 +207,7 @@
         """
         if account.home:
             return RegionName(account.home)
-        digest = sum(account.name.encode())
+        digest = xxh64_intdigest(account.name)
         return RegionName(regions[digest % len(regions)])
 
 
--- /dev/null
+++ b/src/cranberryseam/daemon/logs.py
@@ -0,0 +1,55 @@
+"""Structured logs: one JSON object per line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any, Final
+
+import msgspec
+
+_FIELDS: Final = 'fields'
+
+
+class JsonLines(logging.Formatter):
+    """Formats each record as one line of JSON.
+
+    Parameters
+    ----------
+    vm
+        Name of this VM, written into each line.
+
+    """
+
+    def __init__(self, vm: str) -> None:
+        """Build the encoder once."""
+        super().__init__()
+        self._vm = vm
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for a record."""
+        line: dict[str, Any] = {
+            'time': record.created,
+            'level': record.levelname.lower(),
+            'vm': self._vm,
+            'logger': record.name,
+            'message': record.getMessage(),
+        }
+        line.update(getattr(record, _FIELDS, {}))
+        if record.exc_info:
+            line['exception'] = self.formatException(record.exc_info)
+        return self._encoder.encode(line).decode()
+
+
+def configure_logs(vm: str, level: str) -> None:
+    """Send all logs to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonLines(vm))
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    # The libraries log each request at INFO, with URLs that are the caller's.
+    for name in ('httpx', 'httpcore', 'hypercorn'):
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+__all__ = ('JsonLines', 'configure_logs')
--- /dev/null
+++ b/tests/configuration/test_files.py
@@ -0,0 +1,73 @@
+"""Tests of the settings file."""
+
+from __future__ import annotations
+
+import testtools
+from parameterized import parameterized
+
+from cranberryseam.configuration.files import load_settings, parse_settings
+
+SETTINGS = """
+regions = ["dar", "mwz"]
+
+[vm]
+name = "dar-1"
+region = "dar"
+data_centre = "dar-a"
+roles = ["entry", "control"]
+
+[addresses]
+peers = "127.0.0.1:7000"
+callers = "127.0.0.1:8000"
+
+[control]
+replicas = ["dar-1", "dar-2"]
+data_folder = "/tmp/data"
+
+[[groups]]
+name = "dar-g"
+region = "dar"
+vms = ["dar-1", "dar-2", "dar-3"]
+
+[[peers]]
+name = "dar-2"
+region = "dar"
+data_centre = "dar-b"
+address = "127.0.0.1:7001"
+"""
+
+
+class SettingsTest(testtools.TestCase):
+    """Guards against a process that starts on settings it can't use."""
+
+    def test_good_settings(self) -> None:
+        settings = parse_settings('s', SETTINGS).ok
+        self.assertEqual(settings.vm_id, 'dar-1')
+        self.assertEqual(settings.peers[0].address, '127.0.0.1:7001')
+
+    @parameterized.expand(
+        [
+            ('unknown', 'regions =', 'region =', 'region'),
+            ('nested', 'data_centre = "dar-b"', 'zone = 1', 'peers.0.zone'),
+            ('role', '"control"]', '"proxy"]', 'vm.roles'),
+            ('region', 'region = "dar"\nd', 'region = "x"\nd', 'vm.region'),
+            ('host', '127.0.0.1:8000', 'localhost:80', 'addresses.callers'),
+            ('port', '127.0.0.1:7000', '127.0.0.1:0', 'addresses.peers'),
+            ('folder', '/tmp/data', '', 'control.data_folder'),
+            ('replica', '"dar-2"]\ndata', '"x"]\ndata', 'control.replicas'),
+            ('group', '"dar-3"]', '"dar-2"]', 'groups.dar-g.vms'),
+            ('twice', 'name = "dar-2"', 'name = "dar-1"', 'peers'),
+            ('type', '"127.0.0.1:8000"', '8000', 'addresses.callers'),
+        ]
+    )
+    def test_bad_settings(
+        self, _name: str, good: str, bad: str, key: str
+    ) -> None:
+        self.assertIn(good, SETTINGS)
+        parsed = parse_settings('s', SETTINGS.replace(good, bad))
+        keys = [problem.key for problem in parsed.error.problems]
+        self.assertIn(key, keys)
+
+    def test_missing_file(self) -> None:
+        parsed = load_settings('/nonexistent/settings.toml')
+        self.assertEqual(parsed.error.problems[0].key, '(file)')
