Check benchmarks only where the folder exists

Cause: a clean checkout has no benchmarks folder yet, so the formatter failed. Change: the Makefile takes the folder by wildcard.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 STAMP := $(VENV)/.installed
+CHECKED := src tests $(wildcard benchmarks)
 
 .PHONY: demo test format
 
@@ -14,12 +15,12 @@
 	$(VENV)/bin/python -m cranberryseam.experiments.demo
 
 test: $(STAMP)
-	$(VENV)/bin/ruff format --check src tests benchmarks
-	$(VENV)/bin/ruff check src tests benchmarks
+	$(VENV)/bin/ruff format --check $(CHECKED)
+	$(VENV)/bin/ruff check $(CHECKED)
 	$(VENV)/bin/flake8 src
 	$(VENV)/bin/mypy
 	$(VENV)/bin/python -m pytest
 
 format: $(STAMP)
-	$(VENV)/bin/ruff check --fix src tests benchmarks
-	$(VENV)/bin/ruff format src tests benchmarks
+	$(VENV)/bin/ruff check --fix $(CHECKED)
+	$(VENV)/bin/ruff format $(CHECKED)
