--- a/src/cranberryseam/routing/__init__.py
+++ b/src/cranberryseam/routing/__init__.py
@@ -1,1 +1,16 @@
-"""Choice of a target, failure detection, ejection and queues."""
+"""Target selection, failure detection, ejection, queues, retry budgets."""
+
+from __future__ import annotations
+
+from .messages import MESSAGES
+from .model import AdmitRequest, AttemptOutcome, Leaders, Tuning
+from .router import Router
+
+__all__ = (
+    'MESSAGES',
+    'AdmitRequest',
+    'AttemptOutcome',
+    'Leaders',
+    'Router',
+    'Tuning',
+)
--- /dev/null
+++ b/src/cranberryseam/routing/admission.py
@@ -0,0 +1,223 @@
+"""Admission: assign a slot, wait for one, or refuse."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+from ..core.effects import SetTimer
+from ..core.notices import SlotAssigned, SlotDenied
+from ..core.refusals import RefusalReason
+from .attempts import Assignment
+from .model import INTERACTIVE_LANE, LONG_LANE, PART, AdmitRequest
+from .selection import Selection
+from .waiting import Waiting
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from ..types import Output, RequestId, ServiceName
+    from .service import ServiceState
+    from .target import Target
+
+EXPIRE = 'expire'
+WAKE = 'wake'
+# One dispatch in this many asks the long lane first, so that it isn't starved.
+_LONG_TURN = 4
+_LEAST_RETRY_AFTER_S = 0.1
+
+
+class Admission:
+    """Slots in use and waiting requests of one VM."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start empty."""
+        self._rng = rng
+        self._assigned: dict[RequestId, Assignment] = {}
+        self._waiting: dict[RequestId, ServiceState] = {}
+        self._deadlines: dict[ServiceName, list[tuple[float, RequestId]]] = {}
+        self._wakes: dict[ServiceName, float] = {}
+        self._turn = 0
+
+    def admit(
+        self, state: ServiceState, request: AdmitRequest, at: float
+    ) -> list[Output]:
+        """Assign, queue or refuse a request."""
+        lane = state.lane(request.lane)
+        usual_s = lane.latency.quantile_s(at, 0.5) or 0
+        start_by = request.deadline_at - usual_s
+        if at > start_by or at >= request.deadline_at:
+            return [_deny(at, request, RefusalReason.deadline_too_short)]
+        if not len(lane.queue):
+            target = Selection(state, request, at, self._rng).choose()
+            if target is not None:
+                return [self._assign(state, request, target, at)]
+        wait_s = lane.wait_s(lane.queue.ahead_of(request))
+        if at + wait_s > start_by:
+            reason = RefusalReason.deadline_too_short
+            return [_deny(at, request, reason, wait_s)]
+        return self._enqueue(state, Waiting(request, start_by), at)
+
+    def release(self, request_id: RequestId, at: float) -> Assignment | None:
+        """Free the slot of a request; None if it held none."""
+        assignment = self._assigned.pop(request_id, None)
+        if assignment is not None:
+            assignment.end(at)
+        return assignment
+
+    def cancel_waiting(self, request_id: RequestId) -> bool:
+        """Remove a waiting request; return False if it didn't wait."""
+        state = self._waiting.pop(request_id, None)
+        if state is None:
+            return False
+        for lane in state.lanes.values():
+            lane.queue.cancel(request_id)
+        return True
+
+    def dispatch(self, state: ServiceState, at: float) -> list[Output]:
+        """Assign free slots to waiting requests."""
+        outputs: list[Output] = []
+        while state.waiting():
+            assigned = self._dispatch_one(state, at)
+            if assigned is None:
+                outputs.extend(self._set_wake(state, at))
+                break
+            outputs.append(assigned)
+        return outputs
+
+    def fire(self, kind: str, state: ServiceState, at: float) -> list[Output]:
+        """Handle a timer of a service."""
+        if kind == EXPIRE:
+            return self._expire(state, at)
+        if kind == WAKE:
+            self._wakes.pop(state.name, None)
+            return self.dispatch(state, at)
+        return []
+
+    def _assign(
+        self,
+        state: ServiceState,
+        request: AdmitRequest,
+        target: Target,
+        at: float,
+    ) -> SlotAssigned:
+        assignment = Assignment(request, state, target, at)
+        assignment.begin()
+        self._assigned[request.request_id] = assignment
+        announcement = target.announcement
+        return SlotAssigned(
+            at,
+            request.request_id,
+            announcement.target,
+            announcement.host,
+            announcement.port,
+        )
+
+    def _enqueue(
+        self, state: ServiceState, entry: Waiting, at: float
+    ) -> list[Output]:
+        request = entry.request
+        lane = state.lane(request.lane)
+        displaced = lane.queue.push(entry)
+        outputs: list[Output] = []
+        if displaced is not None:
+            self._waiting.pop(displaced.request.request_id, None)
+            wait_s = lane.wait_s(len(lane.queue))
+            reason = RefusalReason.queue_full
+            outputs.append(_deny(at, displaced.request, reason, wait_s))
+        if displaced is entry:
+            return outputs
+        self._waiting[request.request_id] = state
+        heap = self._deadlines.setdefault(state.name, [])
+        heapq.heappush(heap, (entry.start_by, request.request_id))
+        if heap[0][1] == request.request_id:
+            outputs.append(_timer(EXPIRE, state, entry.start_by))
+        return [*outputs, *self._set_wake(state, at)]
+
+    def _dispatch_one(
+        self, state: ServiceState, at: float
+    ) -> SlotAssigned | None:
+        self._turn += 1
+        lanes = [INTERACTIVE_LANE, LONG_LANE]
+        if not self._turn % _LONG_TURN:
+            lanes.reverse()
+        for name in lanes:
+            assigned = self._dispatch_lane(state, name, at)
+            if assigned is not None:
+                return assigned
+        return None
+
+    def _dispatch_lane(
+        self, state: ServiceState, name: str, at: float
+    ) -> SlotAssigned | None:
+        chosen: list[Target] = []
+
+        def accept(request: AdmitRequest) -> bool:  # noqa: WPS430 (predicate)
+            target = Selection(state, request, at, self._rng).choose()
+            if target is not None:
+                chosen.append(target)
+            return target is not None
+
+        entry = state.lane(name).queue.pop(accept)
+        if entry is None:
+            return None
+        self._waiting.pop(entry.request.request_id, None)
+        return self._assign(state, entry.request, chosen[0], at)
+
+    def _expire(self, state: ServiceState, at: float) -> list[Output]:
+        heap = self._deadlines.get(state.name, [])
+        outputs: list[Output] = []
+        while heap:
+            start_by, request_id = heap[0]
+            if request_id in self._waiting:
+                if start_by > at:
+                    outputs.append(_timer(EXPIRE, state, start_by))
+                    break
+                outputs.extend(self._time_out(state, request_id, at))
+            heapq.heappop(heap)
+        return outputs
+
+    def _time_out(
+        self, state: ServiceState, request_id: RequestId, at: float
+    ) -> Iterator[Output]:
+        self._waiting.pop(request_id)
+        for lane in state.lanes.values():
+            entry = lane.queue.cancel(request_id)
+            if entry is not None:
+                reason = RefusalReason.queue_timeout
+                wait_s = lane.wait_s(len(lane.queue) + 1)
+                yield _deny(at, entry.request, reason, wait_s)
+
+    def _set_wake(self, state: ServiceState, at: float) -> list[Output]:
+        """Dispatch again when the first target ends its pause."""
+        paused = [
+            target.blocked_until
+            for group in state.near(at)
+            for target in group
+            if target.blocked_until > at
+        ]
+        first = min(paused, default=math.inf)
+        if first >= self._wakes.get(state.name, math.inf):
+            return []
+        self._wakes[state.name] = first
+        return [_timer(WAKE, state, first)]
+
+
+def _deny(
+    at: float,
+    request: AdmitRequest,
+    reason: RefusalReason,
+    wait_s: float | None = None,
+) -> SlotDenied:
+    if wait_s is not None:
+        wait_s = max(_LEAST_RETRY_AFTER_S, wait_s)
+    return SlotDenied(at, request.request_id, reason, wait_s)
+
+
+def _timer(kind: str, state: ServiceState, at: float) -> SetTimer:
+    return SetTimer(PART, f'{kind}:{state.name}', at)
+
+
+__all__ = ('Admission',)
--- /dev/null
+++ b/src/cranberryseam/routing/attempts.py
@@ -0,0 +1,114 @@
+"""Attempts that hold a slot, and what their outcomes say."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .model import LONG_LANE, AdmitRequest, AttemptOutcome
+from .service import ServiceState
+from .target import Target
+
+if TYPE_CHECKING:
+    import random
+
+_FAR = 2
+_FAULTS = frozenset(
+    (
+        AttemptOutcome.failed,
+        AttemptOutcome.not_connected,
+        AttemptOutcome.timed_out,
+    )
+)
+
+
+@attrs.define(eq=False)
+class Assignment:
+    """A request that holds a slot of a target."""
+
+    request: AdmitRequest
+    state: ServiceState
+    target: Target
+    started_at: float
+
+    def begin(self) -> None:
+        """Take the slot."""
+        target = self.target
+        target.account_use(self.started_at)
+        target.in_use += 1
+        if self.request.lane == LONG_LANE:
+            target.in_use_long += 1
+        self.state.touched[target.announcement.target] = target
+
+    def end(self, at: float) -> None:
+        """Free the slot."""
+        target = self.target
+        target.account_use(at)
+        target.in_use -= 1
+        if self.request.lane == LONG_LANE:
+            target.in_use_long -= 1
+        self.state.touched[target.announcement.target] = target
+        self.state.lane(self.request.lane).count_end()
+
+    def learn(
+        self,
+        outcome: AttemptOutcome,
+        at: float,
+        took_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Count the outcome as evidence about the target.
+
+        A rejected request says nothing about the target. A cancelled one
+        does if the caller had waited several times longer than usual.
+        """
+        if outcome is AttemptOutcome.rejected:
+            return
+        if outcome is AttemptOutcome.shed:
+            self.target.account_use(at).shed += 1
+            self.target.back_off(at, rng.random())
+            return
+        slow = self._is_slow(at, took_s)
+        if outcome is AttemptOutcome.cancelled:
+            if slow:
+                self._count(outcome, at, failed=False, slow=True)
+            return
+        failed = outcome in _FAULTS
+        if not failed:
+            self.target.learn_success(took_s)
+            lane = self.state.lane(self.request.lane)
+            lane.latency.record(at, took_s)
+        self._count(outcome, at, failed=failed, slow=slow)
+
+    def _is_slow(self, at: float, took_s: float) -> bool:
+        far = self.target.distance == _FAR
+        return self.state.is_slow(at, self.request.lane, far, took_s)
+
+    def _count(
+        self,
+        outcome: AttemptOutcome,
+        at: float,
+        *,
+        failed: bool,
+        slow: bool,
+    ) -> None:
+        target = self.target
+        account = self.request.account
+        counts = self.state.accounts.count(account, target.key, failed)
+        target.decay(at)
+        target.seen += 1
+        target.bad += failed or slow
+        if not counts:
+            return
+        tally = target.account_use(at)
+        if failed:
+            tally.failed += 1
+            tally.accounts[account] += 1
+        elif outcome is AttemptOutcome.succeeded or slow:
+            tally.succeeded += 1
+        if slow and not failed:
+            tally.slow += 1
+
+
+__all__ = ('Assignment',)
--- /dev/null
+++ b/src/cranberryseam/routing/budgets.py
@@ -0,0 +1,76 @@
+"""Retry budgets: a share of recent successes plus a small reserve."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import attrs
+
+_SHARE = 0.1
+_RESERVE = 3.0
+_REFILL_PER_S = 0.2
+_MOST = 30.0
+_MOST_ACCOUNTS = 4096
+
+
+@attrs.define
+class _Budget:
+    units: float
+    at: float
+
+    def refill(self, at: float) -> None:
+        if self.units < _RESERVE:
+            refilled = self.units + (at - self.at) * _REFILL_PER_S
+            self.units = min(_RESERVE, refilled)
+        self.at = at
+
+
+class RetryBudgets:
+    """Budgets of services and of accounts.
+
+    A retry takes one unit of both, so neither a failing service nor one
+    account can multiply the load. Accounts are bounded in number; the one
+    unused for longest is forgotten.
+    """
+
+    def __init__(self) -> None:
+        """Start with the reserve for everyone."""
+        self._services: OrderedDict[str, _Budget] = OrderedDict()
+        self._accounts: OrderedDict[str, _Budget] = OrderedDict()
+
+    def credit(self, service: str, account: str, at: float) -> None:
+        """Count a success."""
+        for budget in self._find_both(service, account, at):
+            budget.units = min(_MOST, budget.units + _SHARE)
+
+    def take(self, service: str, account: str, at: float) -> bool:
+        """Take one unit of both budgets, or of none."""
+        both = self._find_both(service, account, at)
+        if any(budget.units < 1 for budget in both):
+            return False
+        for budget in both:
+            budget.units -= 1
+        return True
+
+    def _find_both(
+        self, service: str, account: str, at: float
+    ) -> tuple[_Budget, _Budget]:
+        return (
+            _find(self._services, service, at),
+            _find(self._accounts, account, at),
+        )
+
+
+def _find(known: OrderedDict[str, _Budget], name: str, at: float) -> _Budget:
+    budget = known.get(name)
+    if budget is None:
+        budget = _Budget(_RESERVE, at)
+        known[name] = budget
+        if len(known) > _MOST_ACCOUNTS:
+            known.popitem(last=False)
+    known.move_to_end(name)
+    budget.refill(at)
+    return budget
+
+
+__all__ = ('RetryBudgets',)
--- /dev/null
+++ b/src/cranberryseam/routing/detection.py
@@ -0,0 +1,134 @@
+"""Sequential test of each target against its peers, at the leader."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from ..types import VmId
+
+_FORGET_S = 10.0
+_PRIOR_BAD = 0.05
+_PRIOR_SEEN = 2.0
+_LEAST_BATCH = 20.0
+_MOST_FAULTY = 0.97
+_LEAST_SLOW = 0.05
+
+
+@attrs.frozen
+class Hypotheses:
+    """Failure rates of the two hypotheses of the test.
+
+    Parameters
+    ----------
+    least_healthy
+        Lower bound of the peers' rate; rarer failures prove nothing.
+    most_healthy
+        Without a test above this rate of the peers: then the service or its
+        load is at fault, not a target.
+    factor, offset
+        Faulty rate as a line over the healthy rate.
+
+    """
+
+    least_healthy: float = 0.02
+    most_healthy: float = 0.4
+    factor: float = 1.5
+    offset: float = 0.32
+
+    def weigh(self, healthy: float) -> tuple[float, float]:
+        """Return the log likelihood ratios of a bad and a good outcome."""
+        rate = max(self.least_healthy, healthy)
+        faulty = min(_MOST_FAULTY, rate * self.factor + self.offset)
+        return math.log(faulty / rate), math.log((1 - faulty) / (1 - rate))
+
+
+# Half of the work failing must be found at 20 requests/s within 3 s; the
+# faulty rate lies below that half, so that the score also grows a little
+# under weaker faults. Attempts slower than three medians are more common
+# among healthy targets than failures are.
+FAILED = Hypotheses()
+SLOW = Hypotheses(least_healthy=_LEAST_SLOW)
+
+
+@attrs.define(eq=False)
+class Score:
+    """CUSUM of the log likelihood ratio, with its parts per VM."""
+
+    total: float = 0
+    by_vm: dict[VmId, float] = attrs.field(factory=dict)
+
+    def add(
+        self,
+        weights: tuple[float, float],
+        counts: Mapping[VmId, tuple[float, float]],
+    ) -> None:
+        """Add bad and good outcomes per VM."""
+        for vm, (bad, good) in counts.items():
+            part = bad * weights[0] + good * weights[1]
+            self.total += part
+            self.by_vm[vm] = self.by_vm.get(vm, 0) + part
+        if self.total <= 0:
+            self.reset()
+
+    def rest(self) -> float:
+        """Return the score without the VM that contributes most."""
+        return self.total - max(self.by_vm.values(), default=0)
+
+    def reset(self) -> None:
+        """Start again."""
+        self.total = 0
+        self.by_vm.clear()
+
+
+@attrs.define(eq=False)
+class Rate:
+    """Bad outcomes among all, forgetting the old ones."""
+
+    bad: float = 0
+    seen: float = 0
+
+    def add(self, kept: float, bad: float, seen: float) -> None:
+        """Decay by a factor and add."""
+        self.bad = self.bad * kept + bad
+        self.seen = self.seen * kept + seen
+
+
+def forget_factor(elapsed_s: float) -> float:
+    """Return what remains of a rate after some seconds."""
+    return math.exp(-elapsed_s / _FORGET_S)
+
+
+def healthy_rate(rates: Iterable[Rate]) -> float:
+    """Return the pooled rate of the better half of the targets.
+
+    Up to half of the targets may fail without spoiling the comparison.
+    """
+    used = [rate for rate in rates if rate.seen >= 1]
+    used.sort(key=lambda rate: rate.bad / rate.seen)
+    better = used[: (len(used) + 1) // 2]
+    bad = sum(rate.bad for rate in better)
+    seen = sum(rate.seen for rate in better)
+    return (bad + _PRIOR_BAD) / (seen + _PRIOR_SEEN)
+
+
+def has_enough(rates: Iterable[Rate]) -> bool:
+    """Return whether a batch is large enough for a rate of its own."""
+    return sum(rate.seen for rate in rates) >= _LEAST_BATCH
+
+
+__all__ = (
+    'FAILED',
+    'SLOW',
+    'Hypotheses',
+    'Rate',
+    'Score',
+    'forget_factor',
+    'has_enough',
+    'healthy_rate',
+)
--- /dev/null
+++ b/src/cranberryseam/routing/display.py
@@ -0,0 +1,79 @@
+"""Targets as shown to operators."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ..core.commands import CommandAnswer
+from ..core.effects import AnswerCommand
+from .model import INTERACTIVE_LANE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .service import ServiceState
+    from .target import Target
+
+_SUSPECTED = 0.3
+_DIGITS = 6
+
+
+def show_targets(
+    command_id: int,
+    version: int,
+    states: Iterable[ServiceState],
+    at: float,
+) -> AnswerCommand:
+    """Answer ``ShowTargets`` with the targets as this VM sees them."""
+    rows = [
+        _show_target(state, target, at)
+        for state in states
+        for target in state.targets.values()
+    ]
+    return AnswerCommand(command_id, CommandAnswer(version, {'targets': rows}))
+
+
+def _show_target(
+    state: ServiceState, target: Target, at: float
+) -> dict[str, object]:
+    status, reason, confidence = _describe(state, target, at)
+    latency = state.lane(INTERACTIVE_LANE).latency.quantile_s(at, 0.5)
+    announcement = target.announcement
+    return {
+        'target': announcement.target,
+        'service': state.name,
+        'region': announcement.region,
+        'data_centre': announcement.data_centre,
+        'state': status,
+        'reason': reason,
+        'confidence': confidence,
+        'slots': announcement.slots,
+        'in_use': target.in_use,
+        'in_use_elsewhere': round(target.others, 2),
+        'limit': round(target.limit, 2),
+        'latency_s': target.latency_s or None,
+        'service_latency_s': latency,
+    }
+
+
+def _describe(
+    state: ServiceState, target: Target, at: float
+) -> tuple[str, str, float]:
+    if target.silent:
+        return 'silent', 'no announcement', 1.0
+    announced = target.announcement.state.value
+    if not target.usable or target.cold:
+        return announced, 'announced by the target', 1.0
+    state.near(at)
+    row = state.ejected.get(target.announcement.target)
+    if row is not None:
+        confidence = round(1 - math.exp(-row.score), _DIGITS)
+        return ('trial' if row.trial else 'ejected'), row.reason, confidence
+    if target.suspicion > _SUSPECTED:
+        share = round(target.suspicion, _DIGITS)
+        return 'avoided', 'failing for this VM', share
+    return 'ready', '', 1.0
+
+
+__all__ = ('show_targets',)
--- /dev/null
+++ b/src/cranberryseam/routing/floor.py
@@ -0,0 +1,82 @@
+"""Slots of a service in a region against its floor."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..core.events import Announcement, TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterable
+
+    from ..types import TargetId
+
+# Shares such as 0.7 have no exact binary form; without this, 0.7 of 10 slots
+# would round up to 8.
+_ROUNDING = 1e-9
+
+
+@attrs.frozen
+class Capacity:
+    """Slots of a service in a region.
+
+    Parameters
+    ----------
+    announced
+        Slots of all known targets, whatever their state.
+    healthy
+        Slots of ready targets that nobody holds back.
+    targets
+        Number of those targets.
+
+    """
+
+    announced: int
+    healthy: int
+    targets: int
+
+    def allows_loss(self, slots: int, floor: float) -> bool:
+        """Return whether the floor holds without one healthy target."""
+        left = self.healthy - slots
+        return self.targets > 1 and left >= least_slots(self.announced, floor)
+
+    def is_short(self, floor: float) -> bool:
+        """Return whether the healthy slots are below the floor."""
+        return self.healthy < least_slots(self.announced, floor)
+
+
+def least_slots(announced: int, floor: float) -> int:
+    """Return the slots that must stay healthy."""
+    return max(1, math.ceil(announced * floor - _ROUNDING))
+
+
+def measure_capacity(
+    announcements: Iterable[tuple[Announcement, bool]],
+    held: Container[TargetId],
+) -> Capacity:
+    """Add up the slots of a service in a region.
+
+    Parameters
+    ----------
+    announcements
+        Announcement of each target and whether it is silent.
+    held
+        Targets that are ejected or may still be excluded by some VM.
+
+    """
+    announced = 0
+    healthy = 0
+    targets = 0
+    for announcement, silent in announcements:
+        announced += announcement.slots
+        ready = announcement.state is TargetState.ready and not silent
+        if ready and announcement.target not in held:
+            healthy += announcement.slots
+            targets += 1
+    return Capacity(announced, healthy, targets)
+
+
+__all__ = ('Capacity', 'least_slots', 'measure_capacity')
--- /dev/null
+++ b/src/cranberryseam/routing/leading.py
@@ -0,0 +1,184 @@
+"""Services that this VM leads in its region."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ..core.effects import IncrementCounter, SendMessage, SetTimer, WriteLog
+from ..types import ServiceName
+from .messages import OutcomeReport, ServiceView
+from .model import PART, Leaders, Tuning
+from .pool import Decision, Pool
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable, Mapping
+
+    from ..configuration.model import Service
+    from ..core.events import Announcement
+    from ..types import Output, TargetId, VmId
+
+DECIDE = 'decide'
+_DECIDE_S = 0.5
+# A gap this long between two decisions may hide that another VM led.
+_MOST_GAP_S = 2.5
+
+
+def shard_key(service: str) -> str:
+    """Return the shard key of a service."""
+    return f'service:{service}'
+
+
+class Leading:
+    """Pools of the led services, and their decisions."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        region: str,
+        tuning: Tuning,
+        ownership: Leaders,
+        rng: random.Random,
+    ) -> None:
+        """Start without pools."""
+        self.pools: dict[ServiceName, Pool] = {}
+        self._vm = vm
+        self._region = region
+        self._tuning = tuning
+        self._ownership = ownership
+        self._rng = rng
+        self._services: Mapping[str, Service] = {}
+        self._announcements: dict[TargetId, tuple[Announcement, bool]] = {}
+        self._timer_set = False
+
+    def configure(self, services: Mapping[str, Service]) -> None:
+        """Take over the floors."""
+        self._services = services
+        for pool in self.pools.values():
+            self._set_floor(pool)
+
+    def update_target(
+        self, announcement: Announcement, silent: bool, at: float
+    ) -> None:
+        """Take over an announcement of a target of this region."""
+        if announcement.region != self._region:
+            return
+        name = announcement.target
+        self._announcements[name] = (announcement, silent)
+        pool = self.pools.get(announcement.service)
+        if pool is not None:
+            pool.update_target(announcement, silent, at)
+        if silent and announcement.state.value == 'draining':
+            self._announcements.pop(name)
+
+    def receive(
+        self, sender: VmId, report: OutcomeReport, at: float
+    ) -> tuple[ServiceView | None, list[Output]]:
+        """Count a report; return the view that answers it."""
+        if report.region != self._region:
+            return None, []
+        pool = self._find_pool(report, at)
+        if pool is None:
+            return None, []
+        pool.receive(sender, report, at)
+        return pool.view_for(sender, self._region), self._set_timer(at)
+
+    def decide(self, at: float) -> list[Output]:
+        """Decide for all led services; called by the timer."""
+        self._timer_set = False
+        outputs: list[Output] = []
+        for name in tuple(self.pools):
+            pool = self.pools[name]
+            if self._is_leader(name, at):
+                outputs.extend(self._decide_one(pool, at))
+            else:
+                self.pools.pop(name)
+        return [*outputs, *self._set_timer(at)]
+
+    def check_leadership(self, at: float) -> None:
+        """Drop the pools of services that another VM leads now."""
+        for name in tuple(self.pools):
+            if not self._is_leader(name, at):
+                self.pools.pop(name)
+
+    def forget_vm(self, vm: VmId) -> None:
+        """Drop a VM that left."""
+        for pool in self.pools.values():
+            pool.forget_vm(vm)
+
+    def stop(self) -> None:
+        """Stop deciding; announced ejections expire by themselves."""
+        self.pools.clear()
+
+    def _find_pool(self, report: OutcomeReport, at: float) -> Pool | None:
+        name = ServiceName(report.service)
+        pool = self.pools.get(name)
+        if pool is not None and at > pool.decided_at + _MOST_GAP_S:
+            self.pools.pop(name)
+            pool = None
+        if not self._is_leader(name, at):
+            self.pools.pop(name, None)
+            return None
+        return pool or self._create_pool(name, at)
+
+    def _create_pool(self, name: ServiceName, at: float) -> Pool:
+        pool = Pool(name, self._tuning, self._rng, at)
+        self._set_floor(pool)
+        for announcement, silent in self._announcements.values():
+            if announcement.service == name:
+                pool.update_target(announcement, silent, at)
+        self.pools[name] = pool
+        return pool
+
+    def _decide_one(self, pool: Pool, at: float) -> list[Output]:
+        if at > pool.decided_at + _MOST_GAP_S:
+            self.pools.pop(pool.service)
+            return []
+        decision = pool.decide(at)
+        outputs: list[Output] = []
+        if decision.changed:
+            outputs.extend(_log(pool, decision))
+            outputs.extend(self._announce(pool, pool.reporters()))
+        return outputs
+
+    def _announce(self, pool: Pool, vms: Iterable[VmId]) -> list[Output]:
+        return [SendMessage(vm, pool.view_for(vm, self._region)) for vm in vms]
+
+    def _is_leader(self, name: str, at: float) -> bool:
+        return self._ownership.is_leader(self._region, shard_key(name), at)
+
+    def _set_floor(self, pool: Pool) -> None:
+        service = self._services.get(pool.service)
+        if service is not None:
+            pool.floor = service.floor
+
+    def _set_timer(self, at: float) -> list[Output]:
+        if self._timer_set or not self.pools:
+            return []
+        self._timer_set = True
+        return [SetTimer(PART, DECIDE, at + _DECIDE_S)]
+
+
+def _log(pool: Pool, decision: Decision) -> list[Output]:
+    outputs: list[Output] = []
+    for name in decision.ejected:
+        ejection = pool.ejections.active[name]
+        details = {
+            'service': pool.service,
+            'target': name,
+            'reason': ejection.reason,
+            'score': round(ejection.score, 1),
+        }
+        outputs.append(WriteLog(logging.WARNING, 'target ejected', details))
+        outputs.append(IncrementCounter(f'routing.ejected.{ejection.reason}'))
+    for name in (*decision.returned, *decision.lifted):
+        details = {'service': pool.service, 'target': name}
+        outputs.append(
+            WriteLog(logging.INFO, 'target returned to work', details)
+        )
+        outputs.append(IncrementCounter('routing.returned'))
+    return outputs
+
+
+__all__ = ('DECIDE', 'Leading', 'shard_key')
--- /dev/null
+++ b/src/cranberryseam/routing/messages.py
@@ -0,0 +1,106 @@
+"""Messages between entry VMs and the leader of a service in a region."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..core.messages import Message
+
+
+class OutcomeRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one VM saw of one target since its last report.
+
+    Parameters
+    ----------
+    target
+        32-bit hash of the target's name; names would double the bytes.
+    slow
+        Attempts that took several times the usual latency.
+    busy_ms
+        Sum over attempts of the milliseconds spent in the period.
+    account
+        32-bit hash of the account with most failures, 0 without failures.
+    account_failed
+        Failures of that account, included in ``failed``.
+
+    """
+
+    target: int
+    succeeded: int
+    failed: int
+    slow: int
+    shed: int
+    busy_ms: int
+    account: int = 0
+    account_failed: int = 0
+
+
+class OutcomeReport(Message, frozen=True, array_like=True, tag=600):  # noqa: WPS432 (tag)
+    """Deltas of one VM for the targets of a service in a region.
+
+    Parameters
+    ----------
+    region
+        Region of the targets and of the leader.
+    sent_at
+        Time on the sender's clock; the leader returns it, and the sender
+        counts the validity of ejections from it.
+
+    """
+
+    service: str
+    region: str
+    sent_at: float
+    rows: tuple[OutcomeRow, ...]
+
+
+class EjectedRow(msgspec.Struct, frozen=True, array_like=True):
+    """One ejected target.
+
+    Parameters
+    ----------
+    score
+        Log likelihood ratio of being faulty against being healthy.
+    trial
+        True if the receiver may send it one retriable request at a time.
+
+    """
+
+    target: str
+    reason: str
+    score: float
+    trial: bool
+
+
+class ServiceView(Message, frozen=True, array_like=True, tag=601):  # noqa: WPS432 (tag)
+    """The leader's answer to a report.
+
+    Parameters
+    ----------
+    sequence
+        Increases with each view of this leader.
+    echo
+        ``sent_at`` of the newest report of the receiver.
+    loads
+        Pairs of target hash and slots in use (hundredths, mean over all
+        VMs).
+
+    """
+
+    service: str
+    region: str
+    sequence: int
+    echo: float
+    ejected: tuple[EjectedRow, ...]
+    loads: tuple[tuple[int, int], ...]
+
+
+MESSAGES: tuple[type[Message], ...] = (OutcomeReport, ServiceView)
+
+__all__ = (
+    'MESSAGES',
+    'EjectedRow',
+    'OutcomeReport',
+    'OutcomeRow',
+    'ServiceView',
+)
--- /dev/null
+++ b/src/cranberryseam/routing/model.py
@@ -0,0 +1,130 @@
+"""What callers of the router pass to it, and its constants."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+import attrs
+
+from ..types import AccountId, RequestId, ServiceName, TargetId, VmId
+
+PART = 'routing'
+LONG_LANE = 'long'
+INTERACTIVE_LANE = 'interactive'
+
+
+class AttemptOutcome(Enum):
+    """How an attempt at a target ended, as evidence about the target.
+
+    ``rejected`` is a response that blames the request (4xx), ``shed`` a
+    response that says the target is overloaded, ``cancelled`` an attempt that
+    the caller did not wait for.
+    """
+
+    succeeded = 'succeeded'
+    failed = 'failed'
+    rejected = 'rejected'
+    shed = 'shed'
+    not_connected = 'not_connected'
+    timed_out = 'timed_out'
+    cancelled = 'cancelled'
+
+
+@attrs.frozen
+class AdmitRequest:
+    """A request that needs a slot at a target.
+
+    Parameters
+    ----------
+    weight
+        Share of scarce slots of its account, from the plan.
+    lane
+        ``interactive`` or ``long``.
+    deadline_at
+        Time at which the caller gives up.
+    retriable
+        True if the request may run more than once.
+    excluded
+        Targets that were tried before and are avoided if others exist.
+    attempt
+        1 for the first attempt.
+
+    """
+
+    request_id: RequestId
+    service: ServiceName
+    account: AccountId
+    weight: int
+    lane: str
+    deadline_at: float
+    retriable: bool
+    excluded: frozenset[TargetId] = frozenset()
+    attempt: int = 1
+
+
+class Leaders(Protocol):
+    """Who leads the replica group of a shard key."""
+
+    def leader_of(self, region: str, shard_key: str) -> VmId | None:
+        """Return the leader as far as this VM knows."""
+
+    def is_leader(self, region: str, shard_key: str, at: float) -> bool:
+        """Return whether this VM holds the leader lease at a time."""
+
+
+@attrs.frozen
+class Tuning:
+    """Constants of the router; ``docs/POLICY.md`` says how to set them.
+
+    Parameters
+    ----------
+    lease_s
+        Time for which an ejection is valid, from the report it answers.
+    lease_margin_s
+        Added by the leader for clock drift between VMs.
+    tick_s
+        Period of reports and of the leader's decisions.
+    threshold
+        Log likelihood ratio that ejects a target; the chance of one false
+        ejection per excursion of the test is at most ``exp(-threshold)``.
+    rest_share
+        Share of the threshold that must remain without the VM (and without
+        the account) that contributes most.
+    grace_s
+        Time after a cold start during which a target is not tested.
+    out_s, most_out_s
+        First and longest time out of an ejected target.
+    queue_limit
+        Most requests that wait for one service on one VM.
+    choices
+        Targets that are compared per request.
+    reports_per_tick
+        Most reports (one per service and region) per tick; services with
+        failures or ejections come first.
+
+    """
+
+    lease_s: float = 5.0
+    lease_margin_s: float = 0.5
+    tick_s: float = 1.0
+    threshold: float = 20.0
+    rest_share: float = 0.3
+    grace_s: float = 10.0
+    out_s: float = 8.0
+    most_out_s: float = 300.0
+    queue_limit: int = 512
+    choices: int = 2
+    reports_per_tick: int = 6
+    ejects: bool = True
+
+
+__all__ = (
+    'INTERACTIVE_LANE',
+    'LONG_LANE',
+    'PART',
+    'AdmitRequest',
+    'AttemptOutcome',
+    'Leaders',
+    'Tuning',
+)
--- /dev/null
+++ b/src/cranberryseam/routing/pool.py
@@ -0,0 +1,300 @@
+"""Evidence of all VMs on a service in a region, held by its leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..core.events import Announcement
+from ..types import ServiceName, TargetId, VmId
+from .detection import (
+    FAILED,
+    SLOW,
+    Hypotheses,
+    Rate,
+    Score,
+    forget_factor,
+    has_enough,
+    healthy_rate,
+)
+from .ejections import Ejections
+from .floor import measure_capacity
+from .messages import OutcomeReport, ServiceView
+from .model import Tuning
+from .subject import Counts, Subject
+from .target import hash_name
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+_MASS_RATE = 0.3
+_MASS_SHARE = 0.5
+_SHED_SHARE = 0.2
+_REPORTER_S = 10.0
+_HUNDREDTHS = 100
+_MS = 1000
+# The batch rate forgets in one second instead of ten.
+_BATCH_SPEED = 10
+_SILENT_KEPT_S = 300.0
+
+
+@attrs.define(eq=False)
+class _Reporter:
+    sent_at: float
+    heard_at: float
+
+
+@attrs.frozen
+class Decision:
+    """What the leader decided in one step.
+
+    Parameters
+    ----------
+    ejected, returned, lifted
+        Targets with a new ejection, a passed trial, a withdrawn ejection.
+
+    """
+
+    ejected: tuple[TargetId, ...] = ()
+    returned: tuple[TargetId, ...] = ()
+    lifted: tuple[TargetId, ...] = ()
+
+    @property
+    def changed(self) -> bool:
+        """Whether VMs must be told at once."""
+        return bool(self.ejected or self.returned or self.lifted)
+
+
+class Pool:
+    """Counts, scores and ejections of one service in one region."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        tuning: Tuning,
+        rng: random.Random,
+        since: float,
+    ) -> None:
+        """Start without evidence; ``since`` is when leadership began."""
+        self.service = service
+        self.floor = 1.0
+        self.ejections = Ejections(tuning, rng)
+        self.subjects: dict[TargetId, Subject] = {}
+        self.decided_at = since
+        self._by_hash: dict[int, Subject] = {}
+        self._tuning = tuning
+        self._since = since
+        self._sequence = 0
+        self._reporters: dict[VmId, _Reporter] = {}
+
+    def update_target(
+        self, announcement: Announcement, silent: bool, at: float
+    ) -> None:
+        """Take over an announcement."""
+        subject = self.subjects.get(announcement.target)
+        if subject is None:
+            subject = Subject(announcement, ready_at=at)
+            self.subjects[announcement.target] = subject
+            self._by_hash[hash_name(announcement.target)] = subject
+        was_ready = subject.ready
+        if silent and not subject.silent:
+            subject.silent_at = at
+        subject.announcement = announcement
+        subject.silent = silent
+        if subject.ready and not was_ready:
+            subject.ready_at = at
+
+    def receive(self, vm: VmId, report: OutcomeReport, at: float) -> None:
+        """Store the rows of a report until the next decision."""
+        reporter = self._reporters.get(vm)
+        if reporter is None:
+            reporter = _Reporter(report.sent_at, at)
+            self._reporters[vm] = reporter
+        elif report.sent_at <= reporter.sent_at:
+            # A repeated or reordered report; counting its rows twice would
+            # double its evidence.
+            return
+        reporter.sent_at = report.sent_at
+        reporter.heard_at = at
+        for row in report.rows:
+            subject = self._by_hash.get(row.target)
+            if subject is not None:
+                subject.rows.append((vm, row))
+
+    def forget_vm(self, vm: VmId) -> None:
+        """Drop a VM that left."""
+        self._reporters.pop(vm, None)
+
+    def reporters(self) -> list[VmId]:
+        """Return the VMs that use the service, sorted by name."""
+        return sorted(self._reporters)
+
+    def view_for(self, vm: VmId, region: str) -> ServiceView:
+        """Return the view that answers the newest report of a VM."""
+        self._sequence += 1
+        return ServiceView(
+            self.service,
+            region,
+            self._sequence,
+            self._reporters[vm].sent_at,
+            self.ejections.rows_for(vm),
+            tuple(
+                (key, round(subject.load * _HUNDREDTHS))
+                for key, subject in self._by_hash.items()
+                if subject.load
+            ),
+        )
+
+    def decide(self, at: float) -> Decision:
+        """Test all targets with the rows since the last decision."""
+        elapsed = max(at - self.decided_at, 1 / _MS)
+        self.decided_at = at
+        self._forget_old(at)
+        healthy_failed, healthy_slow = self._count_rows(elapsed)
+        known = self._known()
+        lifted = self.ejections.lift_to_floor(known, self.floor, at)
+        if healthy_failed >= _MASS_RATE:
+            for name in tuple(self.ejections.active):
+                self.ejections.lift(name, at)
+                lifted.append(name)
+        returned = self.ejections.advance(at, self.reporters())
+        for name in (*lifted, *returned):
+            self.subjects[name].failed.reset()
+            self.subjects[name].slow.reset()
+        ejected: list[TargetId] = []
+        if self._may_eject(at, max(healthy_failed, healthy_slow)):
+            ejected = self._eject(at)
+        return Decision(tuple(ejected), tuple(returned), tuple(lifted))
+
+    def _may_eject(self, at: float, healthy: float) -> bool:
+        start = self._since + self._tuning.lease_s
+        if at < start + self._tuning.lease_margin_s:
+            return False
+        if not self._tuning.ejects or healthy >= FAILED.most_healthy:
+            return False
+        half = self._tuning.threshold / 2
+        failing = sum(
+            name in self.ejections.active or subject.strongest()[0] >= half
+            for name, subject in self.subjects.items()
+        )
+        return failing <= len(self.subjects) * _MASS_SHARE
+
+    def _eject(self, at: float) -> list[TargetId]:
+        ejected = []
+        suspects = sorted(
+            self.subjects.items(),
+            key=lambda pair: (-pair[1].strongest()[0], pair[0]),
+        )
+        for name, subject in suspects:
+            total, reason, score = subject.strongest()
+            if total < self._tuning.threshold:
+                break
+            if self._is_proven(name, subject, score, at):
+                self.ejections.eject(name, reason, total, at)
+                ejected.append(name)
+        return ejected
+
+    def _is_proven(
+        self, name: TargetId, subject: Subject, score: Score, at: float
+    ) -> bool:
+        held = self.ejections.held(at)
+        if name in held or not subject.ready:
+            return False
+        if at < subject.ready_at + self._tuning.grace_s:
+            return False
+        needed = self._tuning.threshold * self._tuning.rest_share
+        if score.rest() < needed:
+            return False
+        capacity = measure_capacity(self._known(), held)
+        return capacity.allows_loss(subject.announcement.slots, self.floor)
+
+    def _known(self) -> list[tuple[Announcement, bool]]:
+        return [
+            (subject.announcement, subject.silent)
+            for subject in self.subjects.values()
+        ]
+
+    def _count_rows(self, elapsed: float) -> tuple[float, float]:
+        kept = forget_factor(elapsed)
+        batch_kept = forget_factor(elapsed * _BATCH_SPEED)
+        counted = {}
+        for name, subject in self.subjects.items():
+            counted[name] = Counts.collect(subject.take_rows())
+            counted[name].add_rates(subject, kept, batch_kept)
+            subject.learn_load(counted[name].busy_ms / _MS / elapsed)
+        failed, slow = self._baselines()
+        for tested, seen in counted.items():
+            if tested in self.ejections.active:
+                self._count_trial(tested, seen)
+            else:
+                _test_one(self.subjects[tested], seen, failed, slow)
+        return failed, slow
+
+    def _baselines(self) -> tuple[float, float]:
+        active = [
+            subject
+            for name, subject in self.subjects.items()
+            if name not in self.ejections.active
+        ]
+        failed = _baseline(
+            [subject.fail_rate for subject in active],
+            [subject.fail_batch for subject in active],
+        )
+        slow = _baseline(
+            [subject.slow_rate for subject in active],
+            [subject.slow_batch for subject in active],
+        )
+        return failed, slow
+
+    def _count_trial(self, name: TargetId, counts: Counts) -> None:
+        bad = counts.bad_of(self.ejections.active[name].reason)
+        self.ejections.count_trial(name, counts.total - bad, bad)
+
+    def _forget_old(self, at: float) -> None:
+        for vm in tuple(self._reporters):
+            if at >= self._reporters[vm].heard_at + _REPORTER_S:
+                self._reporters.pop(vm)
+        for name in tuple(self.subjects):
+            subject = self.subjects[name]
+            if not subject.silent:
+                continue
+            kept_s = 0 if subject.draining else _SILENT_KEPT_S
+            if at >= subject.silent_at + kept_s:
+                self.subjects.pop(name)
+                self._by_hash.pop(hash_name(name), None)
+                self.ejections.forget(name)
+
+
+def _test_one(
+    subject: Subject, counts: Counts, failed: float, slow: float
+) -> None:
+    _test(subject.failed, FAILED, failed, counts.failed)
+    if subject.shed_rate.bad > subject.shed_rate.seen * _SHED_SHARE:
+        # Slow and shedding is overload: less load, no ejection.
+        subject.slow.reset()
+    else:
+        _test(subject.slow, SLOW, slow, counts.slow)
+
+
+def _test(
+    score: Score,
+    hypotheses: Hypotheses,
+    healthy: float,
+    counts: Mapping[VmId, tuple[float, float]],
+) -> None:
+    if healthy >= hypotheses.most_healthy:
+        score.reset()
+    elif counts:
+        score.add(hypotheses.weigh(healthy), counts)
+
+
+def _baseline(rates: list[Rate], batches: list[Rate]) -> float:
+    healthy = healthy_rate(rates)
+    if has_enough(batches):
+        healthy = max(healthy, healthy_rate(batches))
+    return healthy
+
+
+__all__ = ('Decision', 'Pool')
--- /dev/null
+++ b/src/cranberryseam/routing/reporting.py
@@ -0,0 +1,133 @@
+"""Reports of an entry VM to the leaders of the services it uses."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .leading import shard_key
+from .messages import OutcomeReport, OutcomeRow, ServiceView
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from ..types import VmId
+    from .model import Leaders, Tuning
+    from .service import ServiceState
+    from .target import Target
+
+
+@attrs.frozen
+class DueReport:
+    """A report and the leader that takes it."""
+
+    leader: VmId
+    report: OutcomeReport
+
+
+@attrs.define(eq=False)
+class _Candidate:
+    state: ServiceState
+    region: str
+    targets: list[Target]
+    reported_at: float
+    urgent: bool = False
+
+
+class Reporting:
+    """Selects and builds the reports of one tick.
+
+    Parameters
+    ----------
+    ownership
+        Who leads a service.
+    tuning
+        Constants of the router.
+
+    """
+
+    def __init__(self, ownership: Leaders, tuning: Tuning) -> None:
+        """Start without reports."""
+        self._ownership = ownership
+        self._tuning = tuning
+
+    def collect(
+        self, states: Iterable[ServiceState], at: float
+    ) -> Iterator[DueReport]:
+        """Yield the reports of this tick and start new tallies."""
+        candidates = [
+            candidate
+            for state in states
+            for candidate in _find_candidates(state, at)
+        ]
+        candidates.sort(key=_rank)
+        for candidate in candidates[: self._tuning.reports_per_tick]:
+            due = self._build(candidate, at)
+            if due is not None:
+                yield due
+
+    def _build(self, candidate: _Candidate, at: float) -> DueReport | None:
+        state = candidate.state
+        view = state.view(candidate.region)
+        period_s = at - view.reported_at
+        if not view.reported_at:
+            period_s = self._tuning.tick_s
+        rows = tuple(_take_rows(candidate, at, period_s))
+        view.stamp(at)
+        key = shard_key(state.name)
+        leader = self._ownership.leader_of(candidate.region, key)
+        if leader is None:
+            return None
+        report = OutcomeReport(state.name, candidate.region, at, rows)
+        return DueReport(leader, report)
+
+
+def take_view(state: ServiceState, view: ServiceView, at: float) -> bool:
+    """Apply a leader's view to a service; return False for an old one."""
+    region = state.view(view.region)
+    if not region.accept(at, view):
+        return False
+    state.invalidate()
+    loads = dict(view.loads)
+    for target in state.targets.values():
+        if target.announcement.region == view.region:
+            target.learn_load(loads.get(target.key, 0))
+    return True
+
+
+def _find_candidates(state: ServiceState, at: float) -> Iterator[_Candidate]:
+    by_region: dict[str, list[Target]] = defaultdict(list)
+    for target in state.touched.values():
+        by_region[target.announcement.region].append(target)
+    for region in tuple(state.views):
+        if state.views[region].ejected_at(at):
+            by_region.setdefault(region, [])
+    for region, targets in by_region.items():
+        view = state.view(region)
+        urgent = bool(view.ejected_at(at)) or _has_faults(targets)
+        yield _Candidate(state, region, targets, view.reported_at, urgent)
+
+
+def _has_faults(targets: Iterable[Target]) -> bool:
+    return any(
+        target.tally and (target.tally.failed or target.tally.slow)
+        for target in targets
+    )
+
+
+def _rank(candidate: _Candidate) -> tuple[bool, float]:
+    return (not candidate.urgent, candidate.reported_at)
+
+
+def _take_rows(
+    candidate: _Candidate, at: float, period_s: float
+) -> Iterator[OutcomeRow]:
+    for target in candidate.targets:
+        yield target.take_row(at, period_s)
+        if not target.in_use:
+            candidate.state.touched.pop(target.announcement.target, None)
+
+
+__all__ = ('DueReport', 'Reporting', 'take_view')
--- /dev/null
+++ b/src/cranberryseam/routing/router.py
@@ -0,0 +1,325 @@
+"""The router: which target takes a request, and when."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from ..core.commands import ShowTargets
+from ..core.effects import SendMessage, SetTimer
+from ..core.events import (
+    CommandReceived,
+    Event,
+    MessageReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from ..core.notices import (
+    ConfigurationChanged,
+    LeadershipChanged,
+    MemberChanged,
+    MemberStatus,
+    Notice,
+    SlotDenied,
+    TargetChanged,
+)
+from ..core.refusals import RefusalReason
+from .admission import Admission
+from .budgets import RetryBudgets
+from .display import show_targets
+from .leading import DECIDE, Leading
+from .messages import OutcomeReport, ServiceView
+from .model import (
+    INTERACTIVE_LANE,
+    PART,
+    AdmitRequest,
+    AttemptOutcome,
+    Leaders,
+    Tuning,
+)
+from .reporting import Reporting, take_view
+from .service import ServiceState
+from .target import Target, hash_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..configuration.settings import Settings
+    from ..core.events import Announcement
+    from ..types import (
+        AccountId,
+        Output,
+        RequestId,
+        ServiceName,
+    )
+
+TICK = 'tick'
+_ACCOUNT_DECAY_S = 10.0
+_NO_TARGET_RETRY_S = 1.0
+_HEDGE_SAMPLES = 50
+_HEDGE_SHARE = 0.95
+
+
+class Router:
+    """Routing of one VM: selection, queues, evidence and ejection.
+
+    Parameters
+    ----------
+    settings
+        Identity of this VM.
+    ownership
+        Who leads the replica group of a service.
+    rng
+        Random numbers; the only source of chance.
+    tuning
+        Constants.
+
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        ownership: Leaders,
+        rng: random.Random,
+        tuning: Tuning | None = None,
+    ) -> None:
+        """Start without targets."""
+        self._vm = settings.vm
+        self._id = settings.vm_id
+        self._rng = rng
+        self._tuning = tuning or Tuning()
+        self._services: dict[ServiceName, ServiceState] = {}
+        self._floors: dict[str, float] = {}
+        self._version = 0
+        self._admission = Admission(rng)
+        self._budgets = RetryBudgets()
+        self._reporting = Reporting(ownership, self._tuning)
+        self._leading = Leading(
+            self._id, settings.vm.region, self._tuning, ownership, rng
+        )
+        self._started_at: float = 0
+        self._decayed_at: float = 0
+
+    def handle(self, event: Event | Notice) -> list[Output]:
+        """Apply one event or notice."""
+        match event:
+            case TimerFired(part='routing', name=name):
+                return self._fire(name, event.at)
+            case MessageReceived():
+                return self._receive(event)
+            case TargetChanged(announcement=announcement, silent=silent):
+                return self._change_target(announcement, silent, event.at)
+            case MemberChanged(vm=vm, status=status):
+                if status in {MemberStatus.dead, MemberStatus.left}:
+                    self._leading.forget_vm(vm)
+            case LeadershipChanged():
+                self._leading.check_leadership(event.at)
+            case ConfigurationChanged():
+                self._configure(event)
+            case CommandReceived(command=ShowTargets()):
+                return [
+                    show_targets(
+                        event.command_id,
+                        self._version,
+                        self._services.values(),
+                        event.at,
+                    )
+                ]
+            case Started():
+                return self._start(event.at)
+            case StopRequested():
+                return self._stop(event.at)
+        return []
+
+    def admit(self, request: AdmitRequest, at: float) -> list[Output]:
+        """Assign a slot, queue the request, or refuse it.
+
+        Returns
+        -------
+        ``SlotAssigned`` or ``SlotDenied`` now, or nothing: then one of them
+        comes later from another call.
+
+        """
+        state = self._services.get(request.service)
+        if state is None or not any(state.near(at)):
+            reason = RefusalReason.no_target
+            return [
+                SlotDenied(at, request.request_id, reason, _NO_TARGET_RETRY_S)
+            ]
+        return self._admission.admit(state, request, at)
+
+    def release(
+        self,
+        request_id: RequestId,
+        outcome: AttemptOutcome,
+        at: float,
+        latency_s: float | None = None,
+    ) -> list[Output]:
+        """Free the slot of an attempt and count its outcome.
+
+        Parameters
+        ----------
+        latency_s
+            Seconds the target took; by default since the slot was assigned.
+
+        """
+        assignment = self._admission.release(request_id, at)
+        if assignment is None:
+            return []
+        took_s = latency_s
+        if took_s is None:
+            took_s = at - assignment.started_at
+        assignment.learn(outcome, at, took_s, self._rng)
+        if outcome is AttemptOutcome.succeeded:
+            request = assignment.request
+            self._budgets.credit(request.service, request.account, at)
+        return self._admission.dispatch(assignment.state, at)
+
+    def cancel(self, request_id: RequestId, at: float) -> list[Output]:
+        """Forget a request whose caller left, waiting or assigned."""
+        if self._admission.cancel_waiting(request_id):
+            return []
+        return self.release(request_id, AttemptOutcome.cancelled, at)
+
+    def may_retry(
+        self, service: ServiceName, account: AccountId, at: float
+    ) -> bool:
+        """Take one unit of the retry budgets, if both have one."""
+        return self._budgets.take(service, account, at)
+
+    def hedge_delay_s(self, service: ServiceName, at: float) -> float | None:
+        """Return after how long a second attempt pays; None if it doesn't.
+
+        While requests wait for slots a second attempt takes one from them.
+        """
+        state = self._services.get(service)
+        if state is None or state.waiting():
+            return None
+        latency = state.lane(INTERACTIVE_LANE).latency
+        if latency.count() < _HEDGE_SAMPLES:
+            return None
+        return latency.quantile_s(at, _HEDGE_SHARE)
+
+    def _start(self, at: float) -> list[Output]:
+        self._started_at = at
+        # Random phase, so that the VMs' reports don't arrive at once.
+        first = at + self._rng.random() * self._tuning.tick_s
+        return [SetTimer(PART, TICK, first)]
+
+    def _stop(self, at: float) -> list[Output]:
+        outputs = self._report(at)
+        self._leading.stop()
+        return outputs
+
+    def _fire(self, name: str, at: float) -> list[Output]:
+        if name == TICK:
+            return self._tick(at)
+        if name == DECIDE:
+            return self._deliver(self._leading.decide(at), at)
+        kind, _, service = name.partition(':')
+        state = self._services.get(service)  # type: ignore[call-overload]
+        if state is None:
+            return []
+        return self._admission.fire(kind, state, at)
+
+    def _tick(self, at: float) -> list[Output]:
+        outputs: list[Output] = [SetTimer(PART, TICK, at + self._tuning.tick_s)]
+        outputs.extend(self._report(at))
+        for state in self._services.values():
+            for lane in state.lanes.values():
+                lane.update_rate(self._tuning.tick_s)
+        if at >= self._decayed_at + _ACCOUNT_DECAY_S:
+            self._decayed_at = at
+            for state in self._services.values():
+                state.accounts.decay()
+        return outputs
+
+    def _report(self, at: float) -> list[Output]:
+        outputs: list[Output] = []
+        for due in self._reporting.collect(self._services.values(), at):
+            outputs.append(SendMessage(due.leader, due.report))
+        return self._deliver(outputs, at)
+
+    def _deliver(self, outputs: Iterable[Output], at: float) -> list[Output]:
+        """Handle messages of this VM to itself at once."""
+        sent: list[Output] = []
+        for output in outputs:
+            if isinstance(output, SendMessage) and output.to == self._id:
+                event = MessageReceived(at, self._id, output.message)
+                sent.extend(self._receive(event))
+            else:
+                sent.append(output)
+        return sent
+
+    def _receive(self, event: MessageReceived) -> list[Output]:
+        at = event.at
+        match event.message:
+            case OutcomeReport() as report:
+                view, outputs = self._leading.receive(event.sender, report, at)
+                if view is not None:
+                    outputs.append(SendMessage(event.sender, view))
+                return self._deliver(outputs, at)
+            case ServiceView() as view:
+                return self._take_view(view, at)
+        return []
+
+    def _take_view(self, view: ServiceView, at: float) -> list[Output]:
+        state = self._services.get(view.service)  # type: ignore[call-overload]
+        if state is None or not take_view(state, view, at):
+            return []
+        return self._admission.dispatch(state, at)
+
+    def _configure(self, event: ConfigurationChanged) -> None:
+        configuration = event.configuration
+        self._version = configuration.version
+        self._floors = {
+            name: service.floor
+            for name, service in configuration.services.items()
+        }
+        for name, state in self._services.items():
+            state.floor = self._floors.get(name, state.floor)
+            state.invalidate()
+        self._leading.configure(configuration.services)
+
+    def _change_target(
+        self, announcement: Announcement, silent: bool, at: float
+    ) -> list[Output]:
+        self._leading.update_target(announcement, silent, at)
+        state = self._services.get(announcement.service)
+        if state is None:
+            state = ServiceState(announcement.service, self._tuning)
+            state.floor = self._floors.get(state.name, state.floor)
+            self._services[state.name] = state
+        state.invalidate()
+        target = state.targets.get(announcement.target)
+        if target is None:
+            target = self._create_target(announcement, at)
+            state.targets[announcement.target] = target
+        was_cold = target.cold or target.silent
+        target.announcement = announcement
+        target.silent = silent
+        target.limit = min(target.limit, float(announcement.slots))
+        if was_cold and not (target.cold or silent):
+            target.ramp_from = at
+            target.limit = float(announcement.slots)
+        if silent and not target.in_use:
+            state.targets.pop(announcement.target)
+            state.touched.pop(announcement.target, None)
+        return self._admission.dispatch(state, at)
+
+    def _create_target(self, announcement: Announcement, at: float) -> Target:
+        distance = 2
+        if announcement.region == self._vm.region:
+            same = announcement.data_centre == self._vm.data_centre
+            distance = 0 if same else 1
+        target = Target(announcement, hash_name(announcement.target), distance)
+        target.limit = float(announcement.slots)
+        target.used_at = at
+        target.decayed_at = at
+        if at >= self._started_at + self._tuning.grace_s:
+            target.ramp_from = at
+        return target
+
+
+__all__ = ('Router',)
--- /dev/null
+++ b/src/cranberryseam/routing/selection.py
@@ -0,0 +1,174 @@
+"""Choice of the target for one request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .model import LONG_LANE
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator, Sequence
+
+    from .model import AdmitRequest
+    from .service import ServiceState
+    from .target import Target
+
+_OWN_CENTRE = 0
+_REGION = 1
+_FAR = 2
+# Own data centre is preferred until its chosen target is this full.
+_FULL = 0.75
+_SUSPICION_COST = 4.0
+_LEAST_RAMP = 0.1
+# Round trip between regions; a request goes there only when the wait here is
+# expected to be longer.
+_FAR_ROUND_TRIP_S = 0.06
+_TRIAL_MARGIN = 4.0
+
+
+class Selection:
+    """Chooses among the targets of one service for one request.
+
+    Parameters
+    ----------
+    state
+        The service.
+    request
+        The request; tried targets are avoided while others are eligible.
+    at
+        Time of the decision.
+    rng
+        Random numbers of the router.
+
+    """
+
+    def __init__(
+        self,
+        state: ServiceState,
+        request: AdmitRequest,
+        at: float,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the choice."""
+        self._state = state
+        self._request = request
+        self._at = at
+        self._rng = rng
+        self._near = state.near(at)
+        self._long = request.lane == LONG_LANE
+
+    def choose(self) -> Target | None:
+        """Return a target with room, None if the request must wait."""
+        trial = self._find_trial()
+        if trial is not None:
+            return trial
+        best = self._pick(self._near[_OWN_CENTRE])
+        if best is None or best.occupancy() >= _FULL:
+            other = self._pick(self._near[_REGION])
+            best = self._cheaper(best, other)
+        if best is None and self._far_pays():
+            best = self._pick(self._near[_FAR])
+        return best
+
+    def _find_trial(self) -> Target | None:
+        request = self._request
+        if not (self._state.trials and request.retriable):
+            return None
+        if request.attempt > 1 or self._long:
+            return None
+        latency = self._state.lane(request.lane).latency
+        usual = latency.quantile_s(self._at, 0.5) or 0
+        if request.deadline_at - self._at < usual * _TRIAL_MARGIN:
+            return None
+        for target in self._state.trials:
+            if not target.in_use:
+                return target
+        return None
+
+    def _pick(self, group: Sequence[Target]) -> Target | None:
+        if not group:
+            return None
+        sampled = self._sample(group)
+        best = self._cheapest(sampled)
+        if best is None and len(group) > self._state.tuning.choices:
+            best = self._cheapest(group)
+        return best
+
+    def _sample(self, group: Sequence[Target]) -> Iterator[Target]:
+        size = len(group)
+        for _ in range(self._state.tuning.choices):
+            yield group[int(self._rng.random() * size)]
+
+    def _cheapest(
+        self, group: Sequence[Target] | Iterator[Target]
+    ) -> Target | None:
+        best = None
+        lowest: float = 0
+        for target in group:
+            if not self._may_use(target):
+                continue
+            cost = self._cost(target)
+            if best is None or cost < lowest:
+                best = target
+                lowest = cost
+        return best
+
+    def _cheaper(
+        self, one: Target | None, other: Target | None
+    ) -> Target | None:
+        if one is None or other is None:
+            return one or other
+        return other if self._cost(other) < self._cost(one) else one
+
+    def _may_use(self, target: Target) -> bool:
+        if not target.has_room(self._at):
+            return False
+        name = target.announcement.target
+        if self._long and not self._may_use_long(target):
+            return False
+        return name not in self._request.excluded or self._all_tried()
+
+    def _may_use_long(self, target: Target) -> bool:
+        if target.announcement.target in self._state.reserved:
+            return False
+        if self._state.reserved:
+            return True
+        slots = target.announcement.slots
+        return target.in_use_long < max(1, slots - 1)
+
+    def _all_tried(self) -> bool:
+        tried = self._request.excluded
+        return all(
+            target.announcement.target in tried
+            for group in self._near
+            for target in group
+        )
+
+    def _cost(self, target: Target) -> float:
+        slots = target.announcement.slots * self._ramp(target)
+        load = (target.in_use + target.others + 1) / slots
+        return load + _SUSPICION_COST * target.suspicion
+
+    def _ramp(self, target: Target) -> float:
+        if target.cold:
+            return _LEAST_RAMP
+        if not target.ramp_from:
+            return 1
+        elapsed = self._at - target.ramp_from
+        return min(1, max(_LEAST_RAMP, elapsed / self._state.tuning.grace_s))
+
+    def _far_pays(self) -> bool:
+        if not self._near[_FAR]:
+            return False
+        lane = self._state.lane(self._request.lane)
+        usual = lane.latency.quantile_s(self._at, 0.5) or 0
+        left = self._request.deadline_at - self._at
+        if left < usual + _FAR_ROUND_TRIP_S:
+            return False
+        if not (self._near[_OWN_CENTRE] or self._near[_REGION]):
+            return True
+        return lane.wait_s(len(lane.queue) + 1) > _FAR_ROUND_TRIP_S
+
+
+__all__ = ('Selection',)
--- /dev/null
+++ b/src/cranberryseam/routing/subject.py
@@ -0,0 +1,127 @@
+"""What the leader of a service knows of each target."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import attrs
+
+from ..core.events import Announcement, TargetState
+from ..types import VmId
+from .detection import Rate, Score
+from .messages import OutcomeRow
+
+_MOST_ACCOUNT_FAILURES = 3
+_LOAD_SHARE = 0.3
+
+
+@attrs.define(eq=False)
+class Subject:
+    """What the leader knows of one target."""
+
+    announcement: Announcement
+    silent: bool = False
+    silent_at: float = 0
+    ready_at: float = 0
+    load: float = 0
+    rows: list[tuple[VmId, OutcomeRow]] = attrs.field(factory=list)
+    failed: Score = attrs.field(factory=Score)
+    slow: Score = attrs.field(factory=Score)
+    fail_rate: Rate = attrs.field(factory=Rate)
+    slow_rate: Rate = attrs.field(factory=Rate)
+    fail_batch: Rate = attrs.field(factory=Rate)
+    slow_batch: Rate = attrs.field(factory=Rate)
+    shed_rate: Rate = attrs.field(factory=Rate)
+
+    @property
+    def ready(self) -> bool:
+        """Whether it announces that it takes work."""
+        state = self.announcement.state
+        return state is TargetState.ready and not self.silent
+
+    @property
+    def draining(self) -> bool:
+        """Whether it announced that it leaves."""
+        return self.announcement.state is TargetState.draining
+
+    def learn_load(self, load: float) -> None:
+        """Smooth the slots in use over all VMs."""
+        self.load += _LOAD_SHARE * (load - self.load)
+
+    def take_rows(self) -> list[tuple[VmId, OutcomeRow]]:
+        """Return the rows since the last call."""
+        rows = self.rows
+        self.rows = []
+        return rows
+
+    def strongest(self) -> tuple[float, str, Score]:
+        """Return the larger score, its reason and its parts."""
+        if self.failed.total >= self.slow.total:
+            return self.failed.total, 'failing', self.failed
+        return self.slow.total, 'slow', self.slow
+
+
+@attrs.define(eq=False)
+class Counts:
+    """Rows of one target, summed per VM with the cap per account."""
+
+    failed: dict[VmId, tuple[float, float]] = attrs.field(factory=dict)
+    slow: dict[VmId, tuple[float, float]] = attrs.field(factory=dict)
+    total: int = 0
+    total_failed: int = 0
+    total_slow: int = 0
+    total_shed: int = 0
+    busy_ms: int = 0
+
+    @classmethod
+    def collect(cls, rows: list[tuple[VmId, OutcomeRow]]) -> Counts:
+        """Sum rows; failures of one account count up to a cap."""
+        counts = cls()
+        by_account: dict[int, int] = defaultdict(int)
+        for vm, row in rows:
+            room = max(0, _MOST_ACCOUNT_FAILURES - by_account[row.account])
+            by_account[row.account] += row.account_failed
+            excess = max(0, row.account_failed - room)
+            counts.add_row(vm, row, row.failed - excess)
+        return counts
+
+    def bad_of(self, reason: str) -> int:
+        """Return the outcomes that speak against the end of a trial."""
+        if reason == 'slow':
+            return self.total_failed + self.total_slow
+        return self.total_failed
+
+    def add_rates(
+        self, subject: Subject, kept: float, batch_kept: float
+    ) -> None:
+        """Add to the rates of a target."""
+        failed = self.total_failed
+        slow = self.total_slow
+        seen = self.total
+        subject.fail_rate.add(kept, failed, seen)
+        subject.slow_rate.add(kept, slow, seen)
+        subject.fail_batch.add(batch_kept, failed, seen)
+        subject.slow_batch.add(batch_kept, slow, seen)
+        shed = self.total_shed
+        subject.shed_rate.add(kept, shed, seen + shed)
+
+    def add_row(self, vm: VmId, row: OutcomeRow, failed: int) -> None:
+        """Add one row with the failures that count."""
+        seen = row.succeeded + row.failed
+        _add_pair(self.failed, vm, (failed, row.succeeded))
+        _add_pair(self.slow, vm, (row.slow, max(0, seen - row.slow)))
+        self.total += seen
+        self.total_failed += row.failed
+        self.total_slow += row.slow
+        self.total_shed += row.shed
+        self.busy_ms += row.busy_ms
+
+
+def _add_pair(
+    pairs: dict[VmId, tuple[float, float]], vm: VmId, added: tuple[int, int]
+) -> None:
+    bad, good = pairs.get(vm, (0, 0))
+    pairs[vm] = (bad + added[0], good + added[1])
+
+
+__all__ = ('Counts', 'Subject')
--- /dev/null
+++ b/src/cranberryseam/routing/target.py
@@ -0,0 +1,178 @@
+"""A target as one entry VM sees it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+import xxhash
+
+from ..core.events import Announcement, TargetState
+from .messages import OutcomeRow
+
+_DECAY_S = 10.0
+_BACK_OFF_S = 0.02
+_MOST_BACK_OFF_S = 1.0
+_SHRINK = 0.7
+_MOST_SHEDS = 6
+_MS = 1000
+_HUNDREDTHS = 100
+_SUSPECT_FAILURES = 2.0
+_LOAD_SHARE = 0.5
+_LATENCY_SHARE = 0.05
+
+
+def hash_name(name: str) -> int:
+    """Return the 32-bit hash that stands for a name in reports."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+@attrs.define(eq=False)
+class Tally:
+    """Outcomes since the last report."""
+
+    succeeded: int = 0
+    failed: int = 0
+    slow: int = 0
+    shed: int = 0
+    busy_s: float = 0
+    accounts: Counter[str] = attrs.field(factory=Counter)
+
+    def to_row(self, key: int) -> OutcomeRow:
+        """Return the row of a report."""
+        account, account_failed = '', 0
+        if self.accounts:
+            account, account_failed = self.accounts.most_common(1)[0]
+        return OutcomeRow(
+            key,
+            self.succeeded,
+            self.failed,
+            self.slow,
+            self.shed,
+            round(self.busy_s * _MS),
+            hash_name(account) if account else 0,
+            account_failed,
+        )
+
+
+@attrs.define(eq=False)
+class Target:
+    """State of one target on one entry VM.
+
+    Parameters
+    ----------
+    key
+        Hash of its name.
+    distance
+        0 in the data centre of this VM, 1 in its region, 2 elsewhere.
+    ramp_from
+        Time at which it became ready after a cold start; 0 if unknown.
+    limit
+        Concurrency that this VM allows itself, adapted to shedding.
+    others
+        Estimate of the slots that other VMs use.
+
+    """
+
+    announcement: Announcement
+    key: int
+    distance: int
+    silent: bool = False
+    ramp_from: float = 0
+    in_use: int = 0
+    in_use_long: int = 0
+    used_at: float = 0
+    limit: float = 1.0
+    blocked_until: float = 0
+    sheds: int = 0
+    others: float = 0
+    own_mean: float = 0
+    bad: float = 0
+    seen: float = 0
+    decayed_at: float = 0
+    latency_s: float = 0
+    tally: Tally | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new work as far as it announced itself."""
+        draining = self.announcement.state is TargetState.draining
+        return not (self.silent or draining)
+
+    @property
+    def cold(self) -> bool:
+        """Whether it says that it is still starting."""
+        return self.announcement.state is TargetState.cold
+
+    @property
+    def suspicion(self) -> float:
+        """Share (0 to 1) of recent attempts of this VM that went wrong."""
+        if self.bad < _SUSPECT_FAILURES:
+            return 0
+        return self.bad / (self.seen + 1)
+
+    def occupancy(self) -> float:
+        """Return the estimated slots in use over the slots."""
+        return (self.in_use + self.others) / self.announcement.slots
+
+    def has_room(self, at: float) -> bool:
+        """Return whether this VM may start one more request there."""
+        return self.in_use < self.limit and at >= self.blocked_until
+
+    def account_use(self, at: float) -> Tally:
+        """Integrate the slots in use and return the current tally."""
+        tally = self.tally
+        if tally is None:
+            tally = Tally()
+            self.tally = tally
+        tally.busy_s += self.in_use * max(0, at - self.used_at)
+        self.used_at = at
+        return tally
+
+    def decay(self, at: float) -> None:
+        """Forget old outcomes; called before new ones are counted."""
+        elapsed = at - self.decayed_at
+        if elapsed > 0:
+            kept = max(0, 1 - elapsed / _DECAY_S)
+            self.bad *= kept
+            self.seen *= kept
+            self.decayed_at = at
+
+    def learn_success(self, took_s: float) -> None:
+        """Allow more after a success, up to all slots."""
+        share = _LATENCY_SHARE if self.latency_s else 1
+        self.latency_s += share * (took_s - self.latency_s)
+        self.sheds = 0
+        step = 1 / max(1.0, self.limit)
+        self.limit = min(float(self.announcement.slots), self.limit + step)
+
+    def back_off(self, at: float, jitter: float) -> None:
+        """Allow less and pause after the target shed load.
+
+        Parameters
+        ----------
+        jitter
+            Random number in 0 to 1; VMs that were shed together must not
+            return together.
+
+        """
+        self.limit = max(1.0, self.limit * _SHRINK)
+        pause = _BACK_OFF_S * 2**self.sheds * (0.5 + jitter)
+        self.sheds = min(_MOST_SHEDS, self.sheds + 1)
+        self.blocked_until = at + min(_MOST_BACK_OFF_S, pause)
+
+    def learn_load(self, pooled_hundredths: int) -> None:
+        """Take over the mean use that the leader pooled from all VMs."""
+        pooled = pooled_hundredths / _HUNDREDTHS
+        self.others = max(0, pooled - self.own_mean)
+
+    def take_row(self, at: float, period_s: float) -> OutcomeRow:
+        """Return the row for the leader and start a new tally."""
+        tally = self.account_use(at)
+        mean = tally.busy_s / max(period_s, 1 / _MS)
+        self.own_mean += _LOAD_SHARE * (mean - self.own_mean)
+        self.tally = None
+        return tally.to_row(self.key)
+
+
+__all__ = ('Tally', 'Target', 'hash_name')
--- /dev/null
+++ b/src/cranberryseam/routing/views.py
@@ -0,0 +1,87 @@
+"""Ejections in force on an entry VM."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..types import TargetId
+from .floor import measure_capacity
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..core.events import Announcement
+    from .messages import EjectedRow, ServiceView
+
+_STAMPS_KEPT = 8
+
+
+@attrs.define(eq=False)
+class RegionView:
+    """The newest view of a service's leader in one region.
+
+    A view is valid for the lease counted from the time at which this VM sent
+    the report that the view answers. A late, repeated or reordered view can
+    therefore never extend an ejection, whatever the clocks of other VMs say.
+    """
+
+    lease_s: float
+    reported_at: float = 0
+    valid_until: float = 0
+    ejected: dict[TargetId, EjectedRow] = attrs.field(factory=dict)
+    _stamps: deque[float] = attrs.field(factory=deque)
+    _newest: tuple[float, int] = (0, 0)
+
+    def stamp(self, at: float) -> None:
+        """Remember the sending of a report."""
+        self.reported_at = at
+        self._stamps.append(at)
+        if len(self._stamps) > _STAMPS_KEPT:
+            self._stamps.popleft()
+
+    def accept(self, at: float, view: ServiceView) -> bool:
+        """Take over a view; return False for an old or foreign one."""
+        version = (view.echo, view.sequence)
+        expired = at >= view.echo + self.lease_s
+        if expired or version <= self._newest:
+            return False
+        if view.echo not in self._stamps:
+            return False
+        self._newest = version
+        self.valid_until = view.echo + self.lease_s
+        self.ejected = {TargetId(row.target): row for row in view.ejected}
+        return True
+
+    def ejected_at(self, at: float) -> dict[TargetId, EjectedRow]:
+        """Return the ejections in force; none without a fresh leader."""
+        if at >= self.valid_until:
+            return {}
+        return self.ejected
+
+
+def keep_floor(
+    ejected: dict[TargetId, EjectedRow],
+    announcements: Iterable[tuple[Announcement, bool]],
+    floor: float,
+) -> dict[TargetId, EjectedRow]:
+    """Return the ejections that leave the floor as this VM sees it.
+
+    The leader keeps the floor already; targets may have left since. The
+    ejections with least evidence are ignored first.
+    """
+    known = tuple(announcements)
+    kept = dict(ejected)
+    while kept and measure_capacity(known, kept).is_short(floor):
+        weakest = min(kept.values(), key=_rank).target
+        kept.pop(TargetId(weakest))
+    return kept
+
+
+def _rank(row: EjectedRow) -> tuple[float, str]:
+    return row.score, row.target
+
+
+__all__ = ('RegionView', 'keep_floor')
