Serve callers and send their requests to targets

Cause: the daemon needs the HTTP side of the reducer's effects. Change: Gateway turns requests into RequestArrived and executes the request effects; request heads, paths, keys and bodies are checked before the reducer sees them; answers without a recognisable end are not accepted.

--- /dev/null
+++ b/src/cranberryseam/serving/arrivals.py
@@ -0,0 +1,50 @@
+"""The event that tells the reducer of a request."""
+
+from __future__ import annotations
+
+import time
+
+from ..core.events import RequestArrived, RequestHead
+from .bodies import fingerprint_call
+from .calls import Call
+
+_S_PER_MINUTE = 60
+_MINUTES_PER_DAY = 1440
+
+
+def build_arrival(
+    call: Call, at: float, utc_offset_minutes: int
+) -> RequestArrived:
+    """Return the event for a request whose head was checked.
+
+    Parameters
+    ----------
+    utc_offset_minutes
+        Offset of the local time that deadlines refer to.
+
+    """
+    head = call.head
+    keyed = head.idempotency_key is not None
+    return RequestArrived(
+        at,
+        call.request_id,
+        RequestHead(
+            method=head.method,
+            path=head.target.path,
+            query=head.target.query,
+            key_hashes=head.key_hashes,
+            idempotency_key=head.idempotency_key,
+            fingerprint=fingerprint_call(head, call.body) if keyed else b'',
+            timeout_s=head.timeout_s,
+            minute_of_day=find_minute_of_day(time.time(), utc_offset_minutes),
+        ),
+    )
+
+
+def find_minute_of_day(wall_s: float, utc_offset_minutes: int) -> int:
+    """Return the minutes since local midnight."""
+    minutes = int(wall_s // _S_PER_MINUTE) + utc_offset_minutes
+    return minutes % _MINUTES_PER_DAY
+
+
+__all__ = ('build_arrival', 'find_minute_of_day')
--- /dev/null
+++ b/src/cranberryseam/serving/asgi.py
@@ -0,0 +1,76 @@
+"""Types of the ASGI interface, and whole answers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any, TypeAlias
+
+Scope: TypeAlias = Mapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Mapping[str, Any]]]
+Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
+App: TypeAlias = Callable[[Scope, Receive, Send], Awaitable[None]]
+HeaderPair: TypeAlias = tuple[bytes, bytes]
+HeaderList: TypeAlias = list[HeaderPair]
+
+DISCONNECT = 'http.disconnect'
+LIFESPAN = 'lifespan'
+WEBSOCKET = 'websocket'
+
+
+async def start_answer(
+    send: Send, status: int, headers: Iterable[HeaderPair]
+) -> None:
+    """Send the status line and the headers of an answer."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': list(headers),
+        }
+    )
+
+
+async def send_body(send: Send, chunk: bytes, more: bool) -> None:
+    """Send a part of the body of an answer."""
+    await send({'type': 'http.response.body', 'body': chunk, 'more_body': more})
+
+
+async def send_answer(
+    send: Send, status: int, headers: Iterable[HeaderPair], body: bytes
+) -> None:
+    """Send a whole answer."""
+    await start_answer(send, status, headers)
+    await send_body(send, body, more=False)
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Take part in the start and stop protocol of the server."""
+    while True:
+        kind = (await receive())['type']
+        await send({'type': f'{kind}.complete'})
+        if kind == 'lifespan.shutdown':
+            return
+
+
+async def refuse_websocket(receive: Receive, send: Send) -> None:
+    """Reject a websocket handshake; the server answers 403."""
+    await receive()
+    await send({'type': 'websocket.close', 'code': 1002, 'reason': ''})
+
+
+__all__ = (
+    'DISCONNECT',
+    'LIFESPAN',
+    'WEBSOCKET',
+    'App',
+    'HeaderList',
+    'HeaderPair',
+    'Receive',
+    'Scope',
+    'Send',
+    'refuse_websocket',
+    'send_answer',
+    'send_body',
+    'serve_lifespan',
+    'start_answer',
+)
--- /dev/null
+++ b/src/cranberryseam/serving/attempts.py
@@ -0,0 +1,237 @@
+"""One attempt to get an answer from a target."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+import attrs
+import httpx
+
+from ..core.effects import StartAttempt
+from ..core.events import (
+    AnswerEnded,
+    AnswerReady,
+    AttemptFailed,
+    AttemptFailure,
+    Event,
+)
+from ..types import AttemptId
+from .answers import Answer, open_answer, read_first_part
+from .asgi import send_body, start_answer
+from .bodies import BodyBrokenError
+from .calls import Call, Ending
+from .upstream import Upstream, WriteTrace
+
+# A forwarded answer may last long, but not without any progress.
+_STALL_S = 30.0
+# The reducer decides at once; this bounds how long an answer that nobody
+# asks for keeps its connection.
+_DECISION_S = 10.0
+_CONNECT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout)
+_EXPECTED_ERRORS = (httpx.HTTPError, BodyBrokenError, TimeoutError)
+_log = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class AttemptPorts:
+    """What an attempt uses of its surroundings."""
+
+    upstream: Upstream
+    dispatch: Callable[[Event], None]
+    clock: Callable[[], float]
+    on_end: Callable[[Call, Attempt], None]
+
+
+class Attempt:
+    """An attempt from the connection to the end of its answer.
+
+    It runs as one task. Cancelling the task closes the connection, unless
+    the answer was read to its end.
+    """
+
+    def __init__(
+        self, call: Call, effect: StartAttempt, ports: AttemptPorts
+    ) -> None:
+        """Start the task."""
+        loop = asyncio.get_running_loop()
+        self._call = call
+        self._effect = effect
+        self._ports = ports
+        self._trace = WriteTrace()
+        self._go: asyncio.Future[None] = loop.create_future()
+        self._response: httpx.Response | None = None
+        self._ready = False
+        self._forwarding = False
+        self._cancelled = False
+        self._expired = False
+        self._timer = loop.call_later(effect.timeout_s, self._expire)
+        self._task = loop.create_task(self._run())
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """Identifier the reducer gave to this attempt."""
+        return self._effect.attempt_id
+
+    def cancel(self) -> None:
+        """Close the connection; nothing more is reported."""
+        if not self._cancelled:
+            self._cancelled = True
+            self._task.cancel()
+            if self._forwarding:
+                self._call.end(Ending.broken)
+
+    def forward(self) -> None:
+        """Send the answer to the caller."""
+        if not self._go.done():
+            self._go.set_result(None)
+
+    async def wait(self) -> None:
+        """Wait until the attempt has released its connection."""
+        await asyncio.wait((self._task,))
+
+    def _expire(self) -> None:
+        if not self._cancelled:
+            self._expired = True
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        effect = self._effect
+        address = (effect.host, effect.port)
+        upstream = self._ports.upstream
+        async with contextlib.AsyncExitStack() as clean_up:
+            clean_up.callback(self._ports.on_end, self._call, self)
+            upstream.begin_use(address)
+            clean_up.callback(upstream.end_use, address)
+            clean_up.push_async_callback(self._release)
+            clean_up.callback(self._timer.cancel)
+            failure = await self._run_to_failure(address)
+        if failure is not None and not self._cancelled:
+            self._report_failure(failure)
+
+    async def _run_to_failure(
+        self, address: tuple[str, int]
+    ) -> AttemptFailure | None:
+        try:
+            return await self._exchange(address)
+        except asyncio.CancelledError:
+            if self._expired:
+                return AttemptFailure.timed_out
+            if self._cancelled:
+                return None
+            raise
+        except _CONNECT_ERRORS:
+            return AttemptFailure.not_connected
+        except Exception as error:
+            # Also for the fault of a library: a request needs an end.
+            if not isinstance(error, _EXPECTED_ERRORS):
+                _log.exception('attempt ended with an unexpected error')
+            return self._classify()
+
+    async def _exchange(
+        self, address: tuple[str, int]
+    ) -> AttemptFailure | None:
+        call = self._call
+        outgoing = call.build_outgoing(self._effect.timeout_s)
+        self._response = await self._ports.upstream.send(
+            address, outgoing, self._trace
+        )
+        answer = open_answer(self._response, outgoing.method)
+        if answer is None:
+            return AttemptFailure.answer_invalid
+        await read_first_part(answer)
+        if answer.complete:
+            await self._release()
+        self._timer.cancel()
+        self._report_ready(answer)
+        if not self._go.done():
+            async with asyncio.timeout(_DECISION_S):
+                await self._go
+        await self._forward(answer)
+        return None
+
+    async def _forward(self, answer: Answer) -> None:
+        call = self._call
+        if call.outcome.done() or call.answering:
+            self._report_end(whole=answer.complete)
+            return
+        call.answering = True
+        self._forwarding = True
+        async with asyncio.timeout(_STALL_S):
+            await start_answer(
+                call.send, answer.status, call.finish_headers(answer.headers)
+            )
+            await send_body(call.send, answer.first, not answer.complete)
+        if not answer.complete:
+            await self._stream_rest(answer)
+        call.end(Ending.answered)
+        self._report_end(whole=True)
+
+    async def _stream_rest(self, answer: Answer) -> None:
+        send = self._call.send
+        more = True
+        while more:
+            async with asyncio.timeout(_STALL_S):
+                chunk = await anext(answer.chunks, b'')
+                more = bool(chunk)
+                await send_body(send, chunk, more)
+
+    def _classify(self) -> AttemptFailure:
+        if self._trace.sent:
+            return AttemptFailure.no_answer
+        return AttemptFailure.not_sent
+
+    async def _release(self) -> None:
+        response = self._response
+        self._response = None
+        if response is not None:
+            await response.aclose()
+
+    def _report_ready(self, answer: Answer) -> None:
+        effect = self._effect
+        self._ready = True
+        self._ports.dispatch(
+            AnswerReady(
+                at=self._ports.clock(),
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                status=answer.status,
+                complete=answer.complete,
+                not_run=answer.not_run,
+                retry_after_s=answer.retry_after_s,
+                answer=answer.store() if effect.keep_answer else None,
+            )
+        )
+
+    def _report_failure(self, failure: AttemptFailure) -> None:
+        if self._ready:
+            # The caller has a part of the answer, or will never get one.
+            self._call.end(Ending.broken)
+            self._report_end(whole=False)
+            return
+        effect = self._effect
+        self._ports.dispatch(
+            AttemptFailed(
+                at=self._ports.clock(),
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                failure=failure,
+                sent=self._trace.sent,
+            )
+        )
+
+    def _report_end(self, *, whole: bool) -> None:
+        effect = self._effect
+        self._ports.dispatch(
+            AnswerEnded(
+                at=self._ports.clock(),
+                request_id=effect.request_id,
+                attempt_id=effect.attempt_id,
+                whole=whole,
+            )
+        )
+
+
+__all__ = ('Attempt', 'AttemptPorts')
--- /dev/null
+++ b/src/cranberryseam/serving/bodies.py
@@ -0,0 +1,224 @@
+"""The body of a caller's request, held whole or passed on in parts."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import deque
+from collections.abc import AsyncIterator
+
+import attrs
+import httpx
+from expression import Error, Ok, Result
+
+from ..configuration.settings import RequestSettings
+from ..core.refusals import RefusalReason
+from .asgi import DISCONNECT, Receive
+from .framing import CallHead
+from .malformed import BadRequest
+
+# Bodies up to this size are read before the request is decided on, so that
+# they can be sent again; the same for the first part of larger ones.
+WHOLE_BODY_BYTES = 65_536
+# Bytes of a streamed body that may wait for a slow target.
+_WAITING_BYTES = 262_144
+_FINGERPRINT_BYTES = 16
+
+
+class BodyBrokenError(Exception):
+    """The rest of a streamed body will not come."""
+
+
+@attrs.frozen
+class CallerGone:
+    """The caller closed its connection while the body was read."""
+
+
+@attrs.define(eq=False)
+class CallBody:
+    """A body, or the part of it that has arrived.
+
+    Parameters
+    ----------
+    whole
+        False if the rest must be read with ``feed``.
+    taken
+        True once a streamed body has been handed to an attempt.
+
+    """
+
+    whole: bool
+    taken: bool = False
+    broken: bool = False
+    _size: int = 0
+    _waiting: int = 0
+    _chunks: deque[bytes] = attrs.field(factory=deque)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def add(self, chunk: bytes) -> None:
+        """Append a part as it arrived from the caller."""
+        self._size += len(chunk)
+        self._waiting += len(chunk)
+        if chunk:
+            self._chunks.append(chunk)
+        self._changed.set()
+
+    def end(self, *, broken: bool) -> None:
+        """Say that no more parts will come."""
+        self.broken = broken
+        self.whole = not broken
+        self._changed.set()
+
+    def join(self) -> bytes:
+        """Return all parts of a body that is whole and was not streamed."""
+        return b''.join(self._chunks)
+
+    @property
+    def size(self) -> int:
+        """Bytes that have arrived so far."""
+        return self._size
+
+    async def wait_for_room(self) -> None:
+        """Wait until the target has taken enough of what arrived."""
+        while self._waiting > _WAITING_BYTES and not self.broken:
+            self._changed.clear()
+            await self._changed.wait()
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the parts once, as they arrive.
+
+        Raises
+        ------
+        BodyBrokenError
+            If the caller left, stalled or sent too much.
+
+        """
+        while True:
+            while self._chunks:
+                chunk = self._chunks.popleft()
+                self._waiting -= len(chunk)
+                self._changed.set()
+                yield chunk
+            if self.broken:
+                raise BodyBrokenError
+            if self.whole:
+                return
+            self._changed.clear()
+            await self._changed.wait()
+
+
+class StreamedBody(httpx.AsyncByteStream):
+    """Adapter of a streamed body for the HTTP client."""
+
+    def __init__(self, body: CallBody) -> None:
+        """Mark the body as used; it can't be sent a second time."""
+        body.taken = True
+        self._body = body
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the parts as they arrive."""
+        return self._body.stream()
+
+
+async def read_body(
+    receive: Receive, head: CallHead, limits: RequestSettings
+) -> Result[CallBody, BadRequest | CallerGone]:
+    """Read a body before the decision, whole unless it may be streamed."""
+    body = CallBody(whole=False)
+    if not head.chunked and not head.content_length:
+        body.end(broken=False)
+        return Ok(body)
+    most_bytes = limits.most_body_bytes
+    if (head.content_length or 0) > most_bytes:
+        return Error(_too_large(most_bytes))
+    if _may_stream(head):
+        return Ok(body)
+    early_bytes = most_bytes if head.idempotency_key else WHOLE_BODY_BYTES
+    try:
+        async with asyncio.timeout(limits.body_timeout_s):
+            arrived = await _read_parts(receive, body, early_bytes)
+    except TimeoutError:
+        return Error(BadRequest(RefusalReason.body_timeout, 'body stalled'))
+    if not arrived:
+        return Error(CallerGone())
+    if body.size > most_bytes:
+        return Error(_too_large(most_bytes))
+    return Ok(body)
+
+
+async def feed_body(
+    receive: Receive, body: CallBody, limits: RequestSettings
+) -> bool:
+    """Read the rest of a streamed body; return False if the caller left."""
+    while not body.whole and not body.broken:
+        await body.wait_for_room()
+        try:
+            async with asyncio.timeout(limits.body_timeout_s):
+                message = await receive()
+        except TimeoutError:
+            body.end(broken=True)
+            return True
+        if message['type'] == DISCONNECT:
+            body.end(broken=True)
+            return False
+        body.add(message.get('body', b''))
+        if body.size > limits.most_body_bytes:
+            body.end(broken=True)
+        elif not message.get('more_body', False):
+            body.end(broken=False)
+    return True
+
+
+def fingerprint_call(head: CallHead, body: CallBody) -> bytes:
+    """Return a hash of what a request asks for.
+
+    Each part is preceded by its length, so that no two different requests
+    join to the same bytes.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for part in (
+        head.method.encode(),
+        head.target.path.encode(),
+        head.target.query.encode(),
+        body.join(),
+    ):
+        digest.update(b'%d:' % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def _may_stream(head: CallHead) -> bool:
+    if head.idempotency_key is not None:
+        return False
+    return (head.content_length or 0) > WHOLE_BODY_BYTES
+
+
+async def _read_parts(
+    receive: Receive, body: CallBody, early_bytes: int
+) -> bool:
+    while body.size <= early_bytes:
+        message = await receive()
+        if message['type'] == DISCONNECT:
+            return False
+        body.add(message.get('body', b''))
+        if not message.get('more_body', False):
+            body.end(broken=False)
+            break
+    return True
+
+
+def _too_large(most_bytes: int) -> BadRequest:
+    return BadRequest(
+        RefusalReason.body_too_large, f'body is larger than {most_bytes} bytes'
+    )
+
+
+__all__ = (
+    'BodyBrokenError',
+    'CallBody',
+    'CallerGone',
+    'StreamedBody',
+    'feed_body',
+    'fingerprint_call',
+    'read_body',
+)
--- /dev/null
+++ b/src/cranberryseam/serving/credentials.py
@@ -0,0 +1,64 @@
+"""Keys in request headers; only their hashes leave this module."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+from expression import Error, Ok, Result
+
+from .asgi import HeaderPair
+from .malformed import BadRequest, malformed
+
+KEY_HASH_BYTES = 32
+AUTHORIZATION = b'authorization'
+API_KEY = b'x-api-key'
+KEY_HEADERS = frozenset((AUTHORIZATION, API_KEY))
+_BEARER = b'bearer'
+
+
+def hash_key(key: bytes) -> bytes:
+    """Return the hash under which a key is granted and looked up."""
+    return hashlib.blake2b(key, digest_size=KEY_HASH_BYTES).digest()
+
+
+def read_keys(
+    pairs: Iterable[HeaderPair],
+) -> Result[tuple[bytes, ...], BadRequest]:
+    """Return the hash of each key in the headers, in order.
+
+    Parameters
+    ----------
+    pairs
+        Values of ``Authorization`` and ``X-Api-Key``, with lower-case names.
+
+    """
+    hashes: list[bytes] = []
+    for name, field in pairs:
+        key = field if name == API_KEY else _read_bearer(field)
+        if not key:
+            return Error(malformed('a key header without a usable key'))
+        hashes.append(hash_key(key))
+    return Ok(tuple(hashes))
+
+
+def is_key(key_hashes: tuple[bytes, ...], expected_hex: str) -> bool:
+    """Compare the only key of a request with a hash in constant time."""
+    if len(key_hashes) != 1 or not expected_hex:
+        return False
+    return hmac.compare_digest(key_hashes[0].hex(), expected_hex.lower())
+
+
+def _read_bearer(field: bytes) -> bytes:
+    scheme, _, key = field.partition(b' ')
+    return key.strip() if scheme.lower() == _BEARER else b''
+
+
+__all__ = (
+    'KEY_HASH_BYTES',
+    'KEY_HEADERS',
+    'hash_key',
+    'is_key',
+    'read_keys',
+)
--- /dev/null
+++ b/src/cranberryseam/serving/framing.py
@@ -0,0 +1,232 @@
+"""Checks of a caller's request head, before any decision about it."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+from typing import TypeAlias
+
+import attrs
+from expression import Error, Ok, Result
+
+from ..configuration.settings import RequestSettings
+from ..core.refusals import RefusalReason
+from .asgi import HeaderList, HeaderPair, Scope
+from .credentials import KEY_HEADERS, read_keys
+from .fields import (
+    CALLER_TIMEOUT,
+    CHUNKED,
+    CONNECTION,
+    CONTENT_LENGTH,
+    HOST,
+    TRANSFER_ENCODING,
+    list_tokens,
+    select_request_headers,
+)
+from .malformed import BadRequest, malformed
+from .paths import RequestTarget, check_target
+
+_Fields: TypeAlias = Mapping[bytes, list[bytes]]
+
+# Separators and line end of a header line, counted against the limit.
+_LINE_OVERHEAD_BYTES = 4
+_MS_PER_S = 1000
+_UPGRADE = b'upgrade'
+_EXPECT = b'expect'
+_IDEMPOTENCY_KEY = b'idempotency-key'
+_CONTROLS = frozenset(
+    (
+        CALLER_TIMEOUT,
+        CONNECTION,
+        CONTENT_LENGTH,
+        HOST,
+        TRANSFER_ENCODING,
+        _EXPECT,
+        _IDEMPOTENCY_KEY,
+        _UPGRADE,
+    )
+)
+# An underscore is refused since CGI-like servers read it as a hyphen, so that
+# ``X_Forwarded_For`` would pass for a header that this proxy sets.
+_NAME = re.compile(rb"[a-z0-9!#$%&'*+.^`|~-]+")
+_FIELD = re.compile(rb'[\t -~\x80-\xff]*')
+_METHOD = re.compile('[A-Z][A-Z-]{0,31}')
+_AUTHORITY = re.compile(rb'([A-Za-z0-9._~-]+|\[[0-9A-Fa-f:.]+\])(:[0-9]{1,5})?')
+_CHUNKED_ONLY = re.compile(CHUNKED, re.I)
+_CONTINUE = re.compile(b'100-continue', re.I)
+_NUMBER = re.compile(b'[0-9]{1,15}')
+_VISIBLE_KEY = re.compile(b'[!-~]{1,128}')
+
+
+@attrs.frozen
+class CallHead:
+    """A checked request head.
+
+    Parameters
+    ----------
+    headers
+        For the target: without keys, hop-by-hop and forwarding headers.
+    content_length
+        None without that header.
+
+    """
+
+    method: str
+    target: RequestTarget
+    host: bytes
+    headers: HeaderList
+    key_hashes: tuple[bytes, ...]
+    idempotency_key: str | None
+    timeout_s: float | None
+    content_length: int | None
+    chunked: bool
+
+
+@attrs.frozen
+class _Controls:
+    timeout_s: float | None
+    content_length: int | None
+    chunked: bool
+    idempotency_key: str | None
+
+
+def check_head(
+    scope: Scope, limits: RequestSettings
+) -> Result[CallHead, BadRequest]:
+    """Check the head of a request.
+
+    Parameters
+    ----------
+    scope
+        ASGI scope with lower-case header names.
+
+    """
+    method: str = scope['method']
+    # HTTP/1.0 has no way to end a broken answer visibly, and HTTP/2 brings
+    # framing that these checks were not written for.
+    if scope['http_version'] != '1.1':
+        return Error(malformed('only HTTP/1.1 is served'))
+    if not _METHOD.fullmatch(method) or method in {'CONNECT', 'TRACE'}:
+        return Error(malformed('method is refused'))
+    pairs: HeaderList = scope['headers']
+    problem = _find_bad_header(pairs, limits.most_header_bytes)
+    if problem is not None:
+        return Error(problem)
+    fields = _collect_fields(pairs)
+    host = _read_host(fields)
+    if host is None:
+        return Error(malformed('Host must appear once as a name or address'))
+    return check_target(_join_target(scope), host).bind(
+        lambda target: _check_fields(method, target, host, fields, pairs)
+    )
+
+
+def _check_fields(
+    method: str,
+    target: RequestTarget,
+    host: bytes,
+    fields: _Fields,
+    pairs: HeaderList,
+) -> Result[CallHead, BadRequest]:
+    match read_keys(pair for pair in pairs if pair[0] in KEY_HEADERS):
+        case Result(tag='ok', ok=key_hashes):
+            return _check_controls(fields).map(
+                lambda controls: CallHead(
+                    method=method,
+                    target=target,
+                    host=host,
+                    headers=select_request_headers(
+                        pairs, list_tokens(fields.get(CONNECTION, ()))
+                    ),
+                    key_hashes=key_hashes,
+                    idempotency_key=controls.idempotency_key,
+                    timeout_s=controls.timeout_s,
+                    content_length=controls.content_length,
+                    chunked=controls.chunked,
+                )
+            )
+        case failure:
+            return Error(failure.error)
+
+
+def _join_target(scope: Scope) -> bytes:
+    path: bytes = scope['raw_path']
+    query: bytes = scope['query_string']
+    return b'%b?%b' % (path, query) if query else path
+
+
+def _find_bad_header(
+    pairs: Iterable[HeaderPair], most_bytes: int
+) -> BadRequest | None:
+    size = 0
+    for name, field in pairs:
+        size += len(name) + len(field) + _LINE_OVERHEAD_BYTES
+        if not _NAME.fullmatch(name):
+            return malformed('a header name has a refused character')
+        if not _FIELD.fullmatch(field):
+            return malformed('a header value has a refused character')
+    if size > most_bytes:
+        return malformed(f'headers are larger than {most_bytes} bytes')
+    return None
+
+
+def _collect_fields(pairs: Iterable[HeaderPair]) -> _Fields:
+    fields: dict[bytes, list[bytes]] = {}
+    for name, field in pairs:
+        if name in _CONTROLS:
+            fields.setdefault(name, []).append(field)
+    return fields
+
+
+def _read_host(fields: _Fields) -> bytes | None:
+    hosts = fields.get(HOST, ())
+    if len(hosts) == 1 and _AUTHORITY.fullmatch(hosts[0]):
+        return hosts[0]
+    return None
+
+
+def _check_controls(fields: _Fields) -> Result[_Controls, BadRequest]:
+    problem = _find_bad_control(fields)
+    if problem is not None:
+        return Error(problem)
+    lengths = fields.get(CONTENT_LENGTH)
+    timeouts = fields.get(CALLER_TIMEOUT)
+    keys = fields.get(_IDEMPOTENCY_KEY)
+    return Ok(
+        _Controls(
+            timeout_s=int(timeouts[0]) / _MS_PER_S if timeouts else None,
+            content_length=int(lengths[0]) if lengths else None,
+            chunked=TRANSFER_ENCODING in fields,
+            idempotency_key=keys[0].decode() if keys else None,
+        )
+    )
+
+
+def _find_bad_control(fields: _Fields) -> BadRequest | None:
+    if _UPGRADE in fields or not _is_one(fields.get(_EXPECT), _CONTINUE):
+        return malformed('Upgrade and Expect other than 100-continue')
+    encodings = fields.get(TRANSFER_ENCODING)
+    if encodings and CONTENT_LENGTH in fields:
+        return malformed('Content-Length with Transfer-Encoding')
+    if not _is_one(encodings, _CHUNKED_ONLY):
+        return malformed('Transfer-Encoding must be chunked')
+    if not _is_one(fields.get(CONTENT_LENGTH), _NUMBER):
+        return malformed('Content-Length must be one number')
+    timeouts = fields.get(CALLER_TIMEOUT)
+    if not _is_one(timeouts, _NUMBER) or timeouts == [b'0']:
+        return malformed('Request-Timeout-Ms must be one positive integer')
+    if not _is_one(fields.get(_IDEMPOTENCY_KEY), _VISIBLE_KEY):
+        return BadRequest(
+            RefusalReason.idempotency_key_invalid,
+            'Idempotency-Key must be 1 to 128 visible ASCII characters, once',
+        )
+    return None
+
+
+def _is_one(found: list[bytes] | None, pattern: re.Pattern[bytes]) -> bool:
+    if found is None:
+        return True
+    return len(found) == 1 and pattern.fullmatch(found[0]) is not None
+
+
+__all__ = ('CallHead', 'check_head')
--- /dev/null
+++ b/src/cranberryseam/serving/listener.py
@@ -0,0 +1,77 @@
+"""Serving an ASGI application on the process's event loop."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from ..configuration.settings import RequestSettings
+from .asgi import App
+
+# Idle connections of callers are kept this long; also the time within which
+# a connection must bring the whole head of its first request.
+KEEP_ALIVE_S = 20.0
+# Beyond the drain limit, so that requests that end just in time are answered.
+_DRAIN_MARGIN_S = 2.0
+_BACKLOG = 512
+# The server closes a connection after this many requests.
+_REQUESTS_PER_CONNECTION = 1_000_000
+_log = logging.getLogger(__name__)
+
+
+def open_socket(address: str) -> socket.socket:
+    """Return a listening socket for ``ip:port``; port 0 picks a free one.
+
+    Raises
+    ------
+    OSError
+        If the address can't be bound.
+
+    """
+    host, _, port = address.rpartition(':')
+    bare = host.strip('[]')
+    family = socket.AF_INET6 if ':' in bare else socket.AF_INET
+    return socket.create_server(
+        (bare, int(port)), family=family, backlog=_BACKLOG
+    )
+
+
+async def serve_app(
+    app: App,
+    listener: socket.socket,
+    limits: RequestSettings,
+    wait_for_stop: Callable[[], Awaitable[Any]],
+) -> None:
+    """Serve until a stop is awaited, then finish the requests in progress.
+
+    Parameters
+    ----------
+    listener
+        A listening socket; the server closes it.
+    wait_for_stop
+        Returns when no new connections shall be accepted.
+
+    """
+    config = Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.errorlog = _log
+    config.accesslog = None
+    config.backlog = _BACKLOG
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
+    # Twice the limit, so that headers slightly above it get a refusal with
+    # its reason; larger ones get a bare 400 from the server.
+    config.h11_max_incomplete_size = 2 * limits.most_header_bytes
+    config.graceful_timeout = limits.drain_limit_s + _DRAIN_MARGIN_S
+    framework: Any = app
+    await serve(framework, config, shutdown_trigger=wait_for_stop, mode='asgi')
+
+
+__all__ = ('KEEP_ALIVE_S', 'open_socket', 'serve_app')
--- /dev/null
+++ b/src/cranberryseam/serving/paths.py
@@ -0,0 +1,128 @@
+"""Checks of the request target.
+
+Routes are rights, so a path must mean the same here and at the target. Paths
+that servers commonly read in different ways are refused, and escapes of
+characters that need none are undone before routes are compared.
+"""
+
+from __future__ import annotations
+
+import re
+from urllib.parse import unquote_plus
+
+import attrs
+from expression import Error, Ok, Result
+
+from .malformed import BadRequest, malformed
+
+_ABSOLUTE = re.compile(rb'http://([^/?#@]+)(/[^?#]*)?(\?[^#]*)?', re.I)
+_VISIBLE = re.compile(r'[!-~]+')
+_ESCAPE = re.compile('%([0-9A-Fa-f]{2})?')
+_HEX = 16
+_FIRST_VISIBLE = ord(' ')
+_DELETE = 0x7F
+_REFUSED_ESCAPES = frozenset(
+    (*range(_FIRST_VISIBLE), _DELETE, ord('/'), ord('\\'))
+)
+_UNRESERVED = frozenset(
+    b'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~'
+)
+_QUERY_KEYS = frozenset(('api_key', 'key', 'access_token'))
+_QUERY_BORDER = re.compile('[&;]')
+
+
+@attrs.frozen
+class RequestTarget:
+    """A checked request target.
+
+    Parameters
+    ----------
+    raw
+        Path and query as the caller wrote them, for the target.
+    path
+        Path with unreserved characters decoded, for routes.
+
+    """
+
+    raw: bytes
+    path: str
+    query: str
+
+
+def check_target(raw: bytes, host: bytes) -> Result[RequestTarget, BadRequest]:
+    """Check a request target against the ``Host`` header.
+
+    Parameters
+    ----------
+    raw
+        As it stood in the request line.
+
+    """
+    if not raw.startswith(b'/'):
+        absolute = _ABSOLUTE.fullmatch(raw)
+        if absolute is None:
+            return Error(malformed('request target is no path'))
+        if _plain_authority(absolute[1]) != _plain_authority(host):
+            return Error(malformed('request target disagrees with Host'))
+        raw = (absolute[2] or b'/') + (absolute[3] or b'')
+    text = raw.decode('latin-1')
+    if not _VISIBLE.fullmatch(text) or '#' in text:
+        return Error(malformed('request target has a refused character'))
+    raw_path, _, query = text.partition('?')
+    if carries_key(query):
+        return Error(malformed('a key in the query; send it in a header'))
+    return _check_path(raw_path).map(
+        lambda path: RequestTarget(raw, path, query)
+    )
+
+
+def carries_key(query: str) -> bool:
+    """Return whether a query has a parameter that usually holds a key."""
+    if not query:
+        return False
+    names = (part.partition('=')[0] for part in _QUERY_BORDER.split(query))
+    return any(
+        unquote_plus(name).strip().lower() in _QUERY_KEYS for name in names
+    )
+
+
+def _check_path(raw_path: str) -> Result[str, BadRequest]:
+    path = raw_path
+    if '%' in raw_path:
+        decoded = _decode_unreserved(raw_path)
+        if decoded is None:
+            return Error(malformed('path has a refused escape'))
+        path = decoded
+    if '\\' in path:
+        return Error(malformed('path has a backslash'))
+    if '//' in path:
+        return Error(malformed('path has an empty segment'))
+    if '/.' in path and _has_dot_segment(path):
+        return Error(malformed('path has a dot segment'))
+    return Ok(path)
+
+
+def _has_dot_segment(path: str) -> bool:
+    # Some servers cut a segment at its first semicolon before they resolve
+    # dot segments.
+    segments = path.split('/')
+    return any(part.partition(';')[0] in {'.', '..'} for part in segments)
+
+
+def _decode_unreserved(raw_path: str) -> str | None:
+    for escape in _ESCAPE.finditer(raw_path):
+        if escape[1] is None or int(escape[1], _HEX) in _REFUSED_ESCAPES:
+            return None
+    return _ESCAPE.sub(_decode_escape, raw_path)
+
+
+def _decode_escape(escape: re.Match[str]) -> str:
+    code = int(escape[1], _HEX)
+    return chr(code) if code in _UNRESERVED else escape[0].upper()
+
+
+def _plain_authority(authority: bytes) -> bytes:
+    return authority.lower().removesuffix(b':80')
+
+
+__all__ = ('RequestTarget', 'carries_key', 'check_target')
--- /dev/null
+++ b/src/cranberryseam/serving/problems.py
@@ -0,0 +1,120 @@
+"""Refusals as RFC 9457 problem documents."""
+
+from __future__ import annotations
+
+import math
+from http import HTTPStatus
+from types import MappingProxyType
+
+import attrs
+import msgspec
+
+from ..core.refusals import Refusal, RefusalReason
+from .asgi import HeaderList, Send, send_answer
+
+# Not registered; used by other proxies for a caller that closed first.
+_CALLER_CLOSED = 499
+
+
+@attrs.frozen
+class Rendering:
+    """Status and title of a refusal reason."""
+
+    status: int
+    title: str
+
+
+_Row = tuple[RefusalReason, int, str]
+_ROWS: tuple[_Row, ...] = (
+    (RefusalReason.malformed_request, 400, 'Malformed request'),
+    (RefusalReason.body_too_large, 413, 'Body too large'),
+    (RefusalReason.body_timeout, 408, 'Body not received in time'),
+    (RefusalReason.key_missing, 401, 'Key missing'),
+    (RefusalReason.key_ambiguous, 400, 'More than one key'),
+    (RefusalReason.key_unknown, 401, 'Key unknown'),
+    (RefusalReason.key_withdrawn, 401, 'Key withdrawn'),
+    (RefusalReason.keys_stale, 503, 'Keys cannot be checked now'),
+    (RefusalReason.account_unknown, 403, 'Account unknown'),
+    (RefusalReason.route_unknown, 404, 'No such route'),
+    (RefusalReason.route_not_in_plan, 403, 'Route not in plan'),
+    (RefusalReason.deadline_too_short, 504, 'Deadline too short'),
+    (RefusalReason.deadline_expired, 504, 'Deadline expired'),
+    (RefusalReason.rate_exceeded, 429, 'Rate exceeded'),
+    (RefusalReason.limit_owner_unreachable, 503, 'Rate cannot be checked'),
+    (RefusalReason.idempotency_key_invalid, 400, 'Idempotency key invalid'),
+    (RefusalReason.idempotency_key_reused, 422, 'Idempotency key reused'),
+    (RefusalReason.claim_owner_unreachable, 503, 'Claim cannot be stored'),
+    (RefusalReason.claim_table_full, 503, 'Too many idempotency keys'),
+    (RefusalReason.duplicate_in_progress, 409, 'First request in progress'),
+    (RefusalReason.duplicate_outcome_unknown, 409, 'First outcome unknown'),
+    (RefusalReason.answer_not_kept, 409, 'First answer was not kept'),
+    (RefusalReason.no_target, 503, 'No target available'),
+    (RefusalReason.queue_full, 503, 'Queue full'),
+    (RefusalReason.queue_timeout, 503, 'Queue timeout'),
+    (RefusalReason.retry_budget_exhausted, 503, 'Retry budget exhausted'),
+    (RefusalReason.target_unreachable, 502, 'Target unreachable'),
+    (RefusalReason.target_overloaded, 503, 'Target overloaded'),
+    (RefusalReason.outcome_unknown, 502, 'Outcome unknown'),
+    (RefusalReason.answer_incomplete, 502, 'Answer incomplete'),
+    (RefusalReason.caller_left, _CALLER_CLOSED, 'Caller left'),
+    (RefusalReason.not_ready, 503, 'Not ready'),
+    (RefusalReason.draining, 503, 'Draining'),
+)
+RENDERINGS = MappingProxyType(
+    {reason: Rendering(status, title) for reason, status, title in _ROWS}
+)
+PROBLEM_TYPE = (b'content-type', b'application/problem+json')
+_CHALLENGE = (b'www-authenticate', b'Bearer')
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a refusal."""
+
+    type: str
+    title: str
+    status: int
+    ran: str
+    detail: str = ''
+
+
+async def send_refusal(
+    send: Send, refusal: Refusal, *, detail: str = '', closing: bool = False
+) -> None:
+    """Send a refusal to a caller.
+
+    Parameters
+    ----------
+    closing
+        True if the connection is closed after it.
+
+    """
+    reason = refusal.reason
+    rendering = RENDERINGS[reason]
+    problem = Problem(
+        type=f'urn:cranberryseam:refusal:{reason.value}',
+        title=rendering.title,
+        status=rendering.status,
+        ran=refusal.ran.value,
+        detail=detail,
+    )
+    body = msgspec.json.encode(problem)
+    headers = _build_headers(refusal, rendering, len(body))
+    if closing:
+        headers.append((b'connection', b'close'))
+    await send_answer(send, rendering.status, headers, body)
+
+
+def _build_headers(
+    refusal: Refusal, rendering: Rendering, length: int
+) -> HeaderList:
+    headers = [PROBLEM_TYPE, (b'content-length', b'%d' % length)]
+    if refusal.retry_after_s is not None:
+        # Rounded up, since an early retry would be refused again.
+        seconds = max(0, math.ceil(refusal.retry_after_s))
+        headers.append((b'retry-after', b'%d' % seconds))
+    if rendering.status == HTTPStatus.UNAUTHORIZED:
+        headers.append(_CHALLENGE)
+    return headers
+
+
+__all__ = ('PROBLEM_TYPE', 'RENDERINGS', 'Problem', 'Rendering', 'send_refusal')
--- /dev/null
+++ b/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of serving."""
--- /dev/null
+++ b/tests/serving/harness.py
@@ -0,0 +1,226 @@
+"""A running gateway with a scripted reducer, for tests over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from cranberryseam.configuration.settings import (
+    Addresses,
+    AdminSettings,
+    RequestSettings,
+    Settings,
+    VmSettings,
+)
+from cranberryseam.core.effects import (
+    CancelAttempt,
+    Effect,
+    ForwardAnswer,
+    RefuseRequest,
+    SetReadiness,
+    StartAttempt,
+)
+from cranberryseam.core.events import (
+    AnswerReady,
+    AttemptFailed,
+    Event,
+    RequestArrived,
+)
+from cranberryseam.core.refusals import Ran, Refusal, RefusalReason
+from cranberryseam.serving import Gateway, open_socket, serve_app
+from cranberryseam.types import AttemptId, TargetId
+
+PATIENCE_S = 5.0
+Handler = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+def make_settings(key_hash: str = '', **requests: int | float) -> Settings:
+    return Settings(
+        vm=VmSettings('vm-1', 'luzon', 'luzon-1'),
+        addresses=Addresses(peers='127.0.0.1:0'),
+        regions=('luzon',),
+        requests=RequestSettings(**requests),
+        admin=AdminSettings(key_hash),
+    )
+
+
+@attrs.define(eq=False)
+class GrantingReducer:
+    """Sends every request to one target and forwards its answer.
+
+    Parameters
+    ----------
+    rules
+        Effects for events of a type, instead of the usual ones.
+
+    """
+
+    port: int = 0
+    timeout_s: float = PATIENCE_S
+    keep_answer: bool = False
+    rules: dict[type[Event], Callable[[Event], list[Effect]]] = attrs.field(
+        factory=dict
+    )
+    events: list[Event] = attrs.field(factory=list)
+    execute: Callable[[Effect], bool] | None = None
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def dispatch(self, event: Event) -> None:
+        self.events.append(event)
+        self.changed.set()
+        rule = self.rules.get(type(event), self.decide)
+        for effect in rule(event):
+            self.execute(effect)
+
+    def decide(self, event: Event) -> list[Effect]:
+        match event:
+            case RequestArrived():
+                return [self.start(event.request_id)]
+            case AnswerReady():
+                return [ForwardAnswer(event.request_id, event.attempt_id)]
+            case AttemptFailed():
+                ran = Ran.unknown if event.sent else Ran.no
+                refusal = Refusal(RefusalReason.outcome_unknown, ran)
+                return [RefuseRequest(event.request_id, refusal)]
+        return []
+
+    def start(self, request_id: int, attempt_id: int = 1) -> StartAttempt:
+        return StartAttempt(
+            request_id,
+            AttemptId(attempt_id),
+            TargetId('target-1'),
+            '127.0.0.1',
+            self.port,
+            self.timeout_s,
+            self.keep_answer,
+        )
+
+    def of(self, kind: type) -> list:
+        return [event for event in self.events if isinstance(event, kind)]
+
+    async def wait_for(self, kind: type, count: int = 1) -> list:
+        async with asyncio.timeout(PATIENCE_S):
+            while len(self.of(kind)) < count:
+                self.changed.clear()
+                await self.changed.wait()
+        return self.of(kind)
+
+
+@attrs.define(eq=False)
+class Stage:
+    """A gateway that serves callers on a port."""
+
+    gateway: Gateway
+    reducer: GrantingReducer
+    port: int
+    counts: list[str]
+    stop: asyncio.Event
+    server: asyncio.Task[None]
+
+    async def send_raw(self, raw: bytes) -> bytes:
+        """Send bytes and return all that comes until the peer closes."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(raw)
+        async with asyncio.timeout(PATIENCE_S):
+            reply = await read_to_end(reader)
+        writer.close()
+        return reply
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    with contextlib.suppress(ConnectionError):
+        return await reader.read()
+    return b''
+
+
+@contextlib.asynccontextmanager
+async def run_stage(
+    reducer: GrantingReducer | None = None, **requests: int | float
+) -> AsyncIterator[Stage]:
+    reducer = reducer or GrantingReducer()
+    counts: list[str] = []
+    gateway = Gateway(
+        make_settings(**requests),
+        reducer.dispatch,
+        time.monotonic,
+        counts.append,
+    )
+    reducer.execute = gateway.execute
+    gateway.execute(SetReadiness(ready=True))
+    listener = open_socket('127.0.0.1:0')
+    port = listener.getsockname()[1]
+    stop = asyncio.Event()
+    limits = make_settings(drain_limit_s=2).requests
+    server = asyncio.create_task(
+        serve_app(gateway.app, listener, limits, stop.wait)
+    )
+    stage = Stage(gateway, reducer, port, counts, stop, server)
+    try:
+        yield stage
+    finally:
+        await gateway.close()
+        stop.set()
+        async with asyncio.timeout(PATIENCE_S):
+            await server
+
+
+@contextlib.asynccontextmanager
+async def run_target(handler: Handler) -> AsyncIterator[int]:
+    """Serve raw connections as a target; yields the port."""
+    server = await asyncio.start_server(handler, '127.0.0.1', 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    """Return head and measured body of one request."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = 0
+    for line in head.lower().split(b'\r\n'):
+        name, _, field = line.partition(b':')
+        if name == b'content-length':
+            length = int(field)
+    return head + await reader.readexactly(length)
+
+
+def answer_once(answer: bytes, seen: list[bytes] | None = None) -> Handler:
+    """Return a target that answers one request and closes."""
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            request = await read_request(reader)
+            if seen is not None:
+                seen.append(request)
+            writer.write(answer)
+        writer.close()
+
+    return handle
+
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+
+__all__ = (
+    'GET',
+    'OK',
+    'PATIENCE_S',
+    'CancelAttempt',
+    'GrantingReducer',
+    'Stage',
+    'answer_once',
+    'make_settings',
+    'read_request',
+    'read_to_end',
+    'run_stage',
+    'run_target',
+)
--- /dev/null
+++ b/tests/serving/test_gateway.py
@@ -0,0 +1,52 @@
+"""Tests of the gateway over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from cranberryseam.core.events import AnswerEnded, RequestArrived
+
+from .harness import (
+    OK,
+    GrantingReducer,
+    answer_once,
+    run_stage,
+    run_target,
+)
+
+
+class ForwardingTest(testtools.TestCase):
+    """Guards the way of a request to a target and of the answer back."""
+
+    def test_whole_way(self) -> None:
+        seen: list[bytes] = []
+
+        async def scenario() -> bytes:
+            async with run_target(answer_once(OK, seen)) as port:
+                reducer = GrantingReducer(port)
+                async with run_stage(reducer) as stage:
+                    reply = await stage.send_raw(
+                        b'POST /a?b=%7e&c HTTP/1.1\r\nHost: h\r\n'
+                        b'Authorization: Bearer secret-key\r\n'
+                        b'Connection: close, X-Hop\r\nX-Hop: 1\r\n'
+                        b'Via: forged\r\nX-Forwarded-For: forged\r\n'
+                        b'Content-Length: 3\r\n\r\nabc'
+                    )
+                    await reducer.wait_for(AnswerEnded)
+                    self.assertTrue(reducer.of(AnswerEnded)[0].whole)
+                    self.assertEqual(len(reducer.of(RequestArrived)), 1)
+                    self.assertEqual(stage.gateway.in_flight, 0)
+                    return reply
+
+        reply = asyncio.run(scenario())
+        self.assertTrue(reply.startswith(b'HTTP/1.1 200'), reply)
+        self.assertTrue(reply.endswith(b'\r\n\r\nok'), reply)
+        request = seen[0]
+        print(request, reply)
+        self.assertTrue(request.startswith(b'POST /a?b=%7e&c HTTP/1.1\r\n'))
+        for absent in (b'secret', b'X-Hop', b'x-hop', b'forged'):
+            self.assertNotIn(absent, request)
+        self.assertTrue(request.endswith(b'\r\n\r\nabc'), request)
+        self.assertIn(b'cranberryseam-deadline-ms: 5000', request)
