Serve operators and announcing targets

Cause: commands and announcements reach the reducer by HTTP. Change: AdminApi and AnnouncementApi decode requests, wait for the reducer's answer and render failures as problem documents.

--- a/src/cranberryseam/serving/__init__.py
+++ b/src/cranberryseam/serving/__init__.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from .admin import AdminApi
+from .announcements import AnnouncementApi
 from .credentials import hash_key
 from .gateway import Gateway
 from .listener import open_socket, serve_app
 
-__all__ = ('Gateway', 'hash_key', 'open_socket', 'serve_app')
+__all__ = (
+    'AdminApi',
+    'AnnouncementApi',
+    'Gateway',
+    'hash_key',
+    'open_socket',
+    'serve_app',
+)
--- /dev/null
+++ b/src/cranberryseam/serving/admin.py
@@ -0,0 +1,110 @@
+"""The operators' interface."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+from expression import Result
+
+from ..configuration.settings import Settings
+from ..core.commands import Command, CommandAnswer, OutcomeUnknown
+from ..core.effects import AnswerCommand, Effect
+from ..core.errors import Failure
+from ..core.events import CommandReceived, Event
+from .admin_routes import build_command
+from .asgi import LIFESPAN, Receive, Scope, Send, serve_lifespan
+from .credentials import KEY_HEADERS, is_key, read_keys
+from .documents import read_document
+from .failures import KeyRefused, send_failure, send_json
+from .replies import Replies
+
+# The two lists with 54,000 accounts and 7,600 routes take about 10 MB.
+_MOST_BODY_BYTES = 33_554_432
+# A control leader is elected within 2 s; a command may meet two elections.
+_COMMAND_TIMEOUT_S = 10.0
+_COUNTERS_PATH = '/v1/counters'
+
+
+class AdminApi:
+    """Turns operators' requests into commands.
+
+    Parameters
+    ----------
+    counters
+        Counters of the process, for ``GET /v1/counters``.
+    timeout_s
+        Seconds to wait for the answer of a command.
+
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        dispatch: Callable[[Event], None],
+        clock: Callable[[], float],
+        counters: Mapping[str, int],
+        timeout_s: float = _COMMAND_TIMEOUT_S,
+    ) -> None:
+        """Take no command without a key in the settings."""
+        self._key_hash = settings.admin.key_hash
+        self._dispatch = dispatch
+        self._clock = clock
+        self._counters = counters
+        self._timeout_s = timeout_s
+        self._replies: Replies[CommandAnswer | Failure] = Replies()
+
+    def execute(self, effect: Effect) -> bool:
+        """Execute ``AnswerCommand``; return whether the effect was one."""
+        if not isinstance(effect, AnswerCommand):
+            return False
+        self._replies.settle(effect.command_id, effect.answer)
+        return True
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request of an operator (ASGI)."""
+        if scope['type'] == LIFESPAN:
+            await serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if not self._is_allowed(scope):
+            await send_failure(send, KeyRefused())
+            return
+        method: str = scope['method']
+        path: str = scope['path']
+        if method == 'GET' and path == _COUNTERS_PATH:
+            await send_json(send, HTTPStatus.OK, dict(self._counters))
+            return
+        document = await read_document(receive, _MOST_BODY_BYTES)
+        built = document.bind(lambda raw: build_command(method, path, raw))
+        match built:
+            case Result(tag='ok', ok=command):
+                await self._run(command, send)
+            case Result(error=failure):
+                await send_failure(send, failure)
+
+    def _is_allowed(self, scope: Scope) -> bool:
+        headers = scope['headers']
+        keys = read_keys(pair for pair in headers if pair[0] in KEY_HEADERS)
+        return is_key(keys.default_value(()), self._key_hash)
+
+    async def _run(self, command: Command, send: Send) -> None:
+        answer = await self._ask(command)
+        if isinstance(answer, CommandAnswer):
+            await send_json(send, HTTPStatus.OK, answer)
+        else:
+            await send_failure(send, answer)
+
+    async def _ask(self, command: Command) -> CommandAnswer | Failure:
+        command_id, waiter = self._replies.open()
+        self._dispatch(CommandReceived(self._clock(), command_id, command))
+        try:
+            return await asyncio.wait_for(waiter, self._timeout_s)
+        except TimeoutError:
+            return OutcomeUnknown()
+
+
+__all__ = ('AdminApi',)
--- /dev/null
+++ b/src/cranberryseam/serving/announcements.py
@@ -0,0 +1,151 @@
+"""The interface at which targets announce themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Annotated, TypeAlias
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..core.commands import OutcomeUnknown
+from ..core.effects import AnswerAnnouncement, Effect
+from ..core.errors import Failure, InvalidInput
+from ..core.events import Announcement, Event, TargetAnnounced, TargetState
+from ..types import ServiceName, TargetId
+from .asgi import (
+    LIFESPAN,
+    Receive,
+    Scope,
+    Send,
+    send_answer,
+    serve_lifespan,
+)
+from .credentials import KEY_HEADERS, read_keys
+from .documents import decode_document, read_document
+from .failures import KeyRefused, NoSuchResource, send_failure
+from .replies import Replies
+
+PATH = '/v1/announcements'
+_MOST_BODY_BYTES = 4096
+# Below the second between two announcements of a target, so that one that
+# is not answered doesn't pile up with the next.
+_REPLY_TIMEOUT_S = 0.9
+_MOST_PORT = 65_535
+_MOST_COUNT = 1_000_000
+_Name: TypeAlias = Annotated[
+    str, msgspec.Meta(pattern='^[A-Za-z0-9._:-]{1,128}$')
+]
+_Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_MOST_PORT)]
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_MOST_COUNT)]
+_Sequence: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class AnnouncementBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of an announcement; see ``core.events.Announcement``."""
+
+    target: _Name
+    service: _Name
+    host: str
+    port: _Port
+    region: _Name
+    data_centre: _Name
+    slots: _Count
+    connections: _Count
+    state: TargetState
+    sequence: _Sequence
+
+
+class AnnouncementApi:
+    """Turns announcements into events and waits for the reply."""
+
+    def __init__(
+        self, dispatch: Callable[[Event], None], clock: Callable[[], float]
+    ) -> None:
+        """Wait for no reply yet."""
+        self._dispatch = dispatch
+        self._clock = clock
+        self._replies: Replies[Failure | None] = Replies()
+
+    def execute(self, effect: Effect) -> bool:
+        """Execute ``AnswerAnnouncement``; return whether it was one."""
+        if not isinstance(effect, AnswerAnnouncement):
+            return False
+        self._replies.settle(effect.reply_id, effect.failure)
+        return True
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request of a target (ASGI)."""
+        if scope['type'] == LIFESPAN:
+            await serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            failure = await self._serve(scope, receive)
+            if failure is None:
+                await send_answer(send, HTTPStatus.NO_CONTENT, (), b'')
+            else:
+                await send_failure(send, failure)
+
+    async def _serve(self, scope: Scope, receive: Receive) -> Failure | None:
+        if (scope['method'], scope['path']) != ('POST', PATH):
+            return NoSuchResource()
+        headers = scope['headers']
+        keys = read_keys(pair for pair in headers if pair[0] in KEY_HEADERS)
+        key_hashes = keys.default_value(())
+        if len(key_hashes) != 1:
+            return KeyRefused()
+        document = await read_document(receive, _MOST_BODY_BYTES)
+        match document.bind(decode_announcement):
+            case Result(tag='ok', ok=announcement):
+                return await self._ask(announcement, key_hashes[0])
+            case failed:
+                return failed.error
+
+    async def _ask(
+        self, announcement: Announcement, key_hash: bytes
+    ) -> Failure | None:
+        reply_id, waiter = self._replies.open()
+        self._dispatch(
+            TargetAnnounced(self._clock(), announcement, key_hash, reply_id)
+        )
+        try:
+            return await asyncio.wait_for(waiter, _REPLY_TIMEOUT_S)
+        except TimeoutError:
+            return OutcomeUnknown()
+
+
+def decode_announcement(raw: bytes) -> Result[Announcement, Failure]:
+    """Return an announcement from the body of a request."""
+    return decode_document(raw, AnnouncementBody).bind(_build_announcement)
+
+
+def _build_announcement(
+    body: AnnouncementBody,
+) -> Result[Announcement, Failure]:
+    try:
+        ipaddress.ip_address(body.host)
+    except ValueError:
+        return Error(
+            InvalidInput(
+                'announcement', 'host', repr(body.host), 'an IP address'
+            )
+        )
+    return Ok(
+        Announcement(
+            target=TargetId(body.target),
+            service=ServiceName(body.service),
+            host=body.host,
+            port=body.port,
+            region=body.region,
+            data_centre=body.data_centre,
+            slots=body.slots,
+            connections=body.connections,
+            state=body.state,
+            sequence=body.sequence,
+        )
+    )
+
+
+__all__ = ('PATH', 'AnnouncementApi', 'decode_announcement')
--- /dev/null
+++ b/src/cranberryseam/serving/documents.py
@@ -0,0 +1,52 @@
+"""JSON bodies of requests to the admin and announcement interfaces."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..core.errors import Failure, InvalidInput
+from .asgi import DISCONNECT, Receive
+from .failures import BodyNotAccepted
+
+BODY_TIMEOUT_S = 10.0
+_SOURCE = 'request body'
+_Body = TypeVar('_Body')
+
+
+async def read_document(
+    receive: Receive, most_bytes: int
+) -> Result[bytes, Failure]:
+    """Return a whole body."""
+    body = bytearray()
+    more = True
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            while more and len(body) <= most_bytes:
+                message = await receive()
+                if message['type'] == DISCONNECT:
+                    return Error(BodyNotAccepted())
+                body += message.get('body', b'')
+                more = message.get('more_body', False)
+    except TimeoutError:
+        return Error(BodyNotAccepted())
+    if len(body) > most_bytes:
+        return Error(BodyNotAccepted())
+    return Ok(bytes(body))
+
+
+def decode_document(raw: bytes, kind: type[_Body]) -> Result[_Body, Failure]:
+    """Return a body as a value of a type."""
+    try:
+        decoded = msgspec.json.decode(raw, type=kind)
+    except msgspec.MsgspecError as error:
+        return Error(
+            InvalidInput(_SOURCE, '', str(error), f'JSON of {kind.__name__}')
+        )
+    return Ok(decoded)
+
+
+__all__ = ('decode_document', 'read_document')
--- /dev/null
+++ b/src/cranberryseam/serving/failures.py
@@ -0,0 +1,94 @@
+"""Typed failures as RFC 9457 problem documents."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+import attrs
+import msgspec
+
+from ..core import commands
+from ..core.errors import Failure, InvalidInput
+from ..core.refusals import Refusal
+from .asgi import Send, send_answer
+from .problems import PROBLEM_TYPE, send_refusal
+
+
+@attrs.frozen
+class KeyRefused(Failure):
+    """The key of this interface is missing or another one."""
+
+
+@attrs.frozen
+class NoSuchResource(Failure):
+    """No resource of this interface has that path and method."""
+
+
+@attrs.frozen
+class BodyNotAccepted(Failure):
+    """The body is too large or didn't arrive in time."""
+
+
+_INTERNAL_ERROR = 500
+# A client must send the command elsewhere after 421, and may send it again
+# with the same command key after 504.
+_STATUSES = MappingProxyType(
+    {
+        InvalidInput: 400,
+        KeyRefused: 401,
+        NoSuchResource: 404,
+        BodyNotAccepted: 413,
+        commands.UnknownName: 404,
+        commands.AlreadyInitialised: 409,
+        commands.CommandKeyReused: 409,
+        commands.KeyExists: 409,
+        commands.NotInitialised: 409,
+        commands.VersionConflict: 409,
+        commands.CommandUnsupported: 421,
+        commands.NotLeader: 421,
+        commands.OutcomeUnknown: 504,
+    }
+)
+
+
+def find_status(failure: Failure) -> int:
+    """Return the HTTP status of a failure."""
+    return _STATUSES.get(type(failure), _INTERNAL_ERROR)
+
+
+async def send_failure(send: Send, failure: Failure) -> None:
+    """Send a failure; its fields are members of the document."""
+    if isinstance(failure, Refusal):
+        await send_refusal(send, failure)
+        return
+    status = find_status(failure)
+    name = type(failure).__name__
+    document = {
+        'type': f'urn:cranberryseam:failure:{name}',
+        'title': (type(failure).__doc__ or name).splitlines()[0],
+        'status': status,
+        **attrs.asdict(failure),
+    }
+    await send_json(send, status, document, PROBLEM_TYPE)
+
+
+async def send_json(
+    send: Send,
+    status: int,
+    document: object,
+    content_type: tuple[bytes, bytes] = (b'content-type', b'application/json'),
+) -> None:
+    """Send a JSON document."""
+    body = msgspec.json.encode(document, enc_hook=str)
+    length = (b'content-length', b'%d' % len(body))
+    await send_answer(send, status, (content_type, length), body)
+
+
+__all__ = (
+    'BodyNotAccepted',
+    'KeyRefused',
+    'NoSuchResource',
+    'find_status',
+    'send_failure',
+    'send_json',
+)
