--- /dev/null
+++ b/src/cranberryseam/cli/lists.py
@@ -0,0 +1,77 @@
+"""Commands on the two lists."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..configuration.lists import parse_lists
+from ..configuration.model import Lists
+from .context import Connect, choose_command_key, read_text, take
+from .output import fail, print_json, print_table
+
+
+class ListCommands:
+    """Check, show and apply customers' plans and what each plan may use."""
+
+    def __init__(self, connect: Connect, as_json: bool) -> None:
+        """Connect only when a command is run, not for its help."""
+        self._connect = connect
+        self._as_json = as_json
+
+    def show(self) -> None:
+        """Show the lists in force with their version."""
+        answer = take(self._connect().ask_any('GET', '/v1/lists'))
+        if self._as_json:
+            print_json(answer)
+            return
+        version = answer['version']
+        print(f'version {version}')  # noqa: WPS421
+        body = answer['body']
+        print_table(body['plans'], 'name rate burst weight routes')
+        print_table(body['accounts'], 'name plan home')
+        print_table(body['routes'], 'name service prefix methods deadline_s')
+        print_table(body['services'], 'name floor most_targets')
+
+    def apply(
+        self, customers: str, usage: str, based_on: int, command_key: str = ''
+    ) -> None:
+        """Replace the lists if the version is still in force.
+
+        Parameters
+        ----------
+        customers
+            TOML file with customers' plans.
+        usage
+            TOML file with what each plan may use.
+        based_on
+            Version that the files were made from, as ``lists show`` says.
+        command_key
+            Same key for a command sent again after a lost answer.
+
+        """
+        lists = read_lists(customers, usage)
+        key = choose_command_key(command_key)
+        body = {
+            'command_key': key,
+            'based_on': based_on,
+            'lists': attrs.asdict(lists),
+        }
+        answer = self._connect().ask_any('POST', '/v1/lists', body)
+        if answer.is_error():
+            fail(answer.error)
+        if self._as_json:
+            print_json({**answer.ok, 'command_key': key})
+            return
+        version = answer.ok['version']
+        print(f'version {version} accepted')  # noqa: WPS421
+
+
+def read_lists(customers: str, usage: str) -> Lists:
+    """Return the checked lists of two files, or exit with all problems."""
+    parsed = parse_lists(read_text(customers), read_text(usage))
+    if parsed.is_error():
+        fail(parsed.error)
+    return parsed.ok
+
+
+__all__ = ('ListCommands', 'read_lists')
--- /dev/null
+++ b/src/cranberryseam/cli/main.py
@@ -0,0 +1,71 @@
+"""Entry point of ``cranberryseam``, the operators' tool."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import fire
+
+from ..configuration.files import load_settings
+from .context import build_client
+from .fleet import ControlCommands, FleetCommands, KeyCommands
+from .lists import ListCommands, read_lists
+from .output import fail
+
+
+class CheckCommands:
+    """Check files without a fleet."""
+
+    def settings(self, path: str) -> None:
+        """Check the settings file of a daemon."""
+        loaded = load_settings(path)
+        if loaded.is_error():
+            fail(loaded.error)
+        print(f'{path}: usable')  # noqa: WPS421
+
+    def lists(self, customers: str, usage: str) -> None:
+        """Check the two lists."""
+        read_lists(customers, usage)
+        print(f'{customers}, {usage}: usable')  # noqa: WPS421
+
+
+class Tool:
+    """Operate a cranberryseam fleet.
+
+    Exit codes: 0 done, 1 refused, 2 invalid input, 3 unreachable, 4 conflict
+    with what is in force, 5 done but not confirmed by every VM, 6 outcome
+    unknown (send it again with the same command key).
+
+    Parameters
+    ----------
+    addresses
+        Addresses (``ip:port``) of the administration API, separated by
+        commas; default ``CRANBERRYSEAM_ADDRESSES``.
+    key_file
+        File with the operator's key; default ``CRANBERRYSEAM_KEY_FILE``.
+    json
+        Print JSON.
+
+    """
+
+    def __init__(
+        self, addresses: str = '', key_file: str = '', json: bool = False
+    ) -> None:
+        """Build the groups of commands."""
+        connect = partial(build_client, addresses, key_file)
+        self.check = CheckCommands()
+        self.lists = ListCommands(connect, json)
+        self.keys = KeyCommands(connect, json)
+        self.fleet = FleetCommands(connect, json)
+        self.control = ControlCommands(connect)
+
+
+def main() -> None:
+    """Read the command line of the tool."""
+    fire.Fire(Tool, name='cranberryseam')
+
+
+if __name__ == '__main__':
+    main()
+
+__all__ = ('CheckCommands', 'Tool', 'main')
--- /dev/null
+++ b/src/cranberryseam/cli/output.py
@@ -0,0 +1,114 @@
+"""Output and exit codes of the tool."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NoReturn
+
+import msgspec
+
+from ..configuration.documents import InvalidDocument
+from ..core.errors import Failure
+from .client import ApiRefused, ApiUnreachable
+
+DECIMALS: Final = 3
+
+EXIT_REFUSED: Final = 1
+EXIT_INVALID: Final = 2
+EXIT_UNREACHABLE: Final = 3
+EXIT_CONFLICT: Final = 4
+EXIT_UNCONFIRMED: Final = 5
+EXIT_UNKNOWN: Final = 6
+
+_CONFLICTS: Final = frozenset(('VersionConflict', 'CommandKeyReused'))
+
+
+def print_json(document: object) -> None:
+    """Print a document as JSON."""
+    encoded = msgspec.json.encode(document)
+    print(msgspec.json.format(encoded).decode())  # noqa: WPS421
+
+
+def print_table(rows: Sequence[Mapping[str, Any]], columns: str) -> None:
+    """Print rows as a table.
+
+    Parameters
+    ----------
+    columns
+        Names of the columns, separated by spaces.
+
+    """
+    names = columns.split()
+    table = [names]
+    for row in rows:
+        table.append([_format(row.get(name)) for name in names])
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    for line in table:
+        cells = [
+            text.ljust(width) for text, width in zip(line, widths, strict=True)
+        ]
+        print('  '.join(cells).rstrip())  # noqa: WPS421
+
+
+def fail(failure: Failure) -> NoReturn:
+    """Print a failure on standard error and exit with its code."""
+    sys.stderr.write(f'{describe_failure(failure)}\n')
+    sys.exit(find_exit_code(failure))
+
+
+def describe_failure(failure: Failure) -> str:
+    """Return a failure as text for an operator."""
+    if isinstance(failure, ApiUnreachable):
+        where = failure.address
+        return f'{where}: unreachable: {failure.detail}'
+    if isinstance(failure, ApiRefused):
+        document = failure.document
+        details = ', '.join(
+            f'{key}={content}'
+            for key, content in document.items()
+            if key not in {'type', 'title', 'status'}
+        )
+        title = document.get('title', '')
+        where = failure.address
+        return f'{where}: {title} {details}'.rstrip()
+    return str(failure)
+
+
+def find_exit_code(failure: Failure) -> int:
+    """Return the exit code of the tool for a failure."""
+    if isinstance(failure, InvalidDocument):
+        return EXIT_INVALID
+    if isinstance(failure, ApiUnreachable):
+        return EXIT_UNREACHABLE
+    if isinstance(failure, ApiRefused):
+        if failure.name in _CONFLICTS:
+            return EXIT_CONFLICT
+        if failure.name == 'OutcomeUnknown':
+            return EXIT_UNKNOWN
+    return EXIT_REFUSED
+
+
+def _format(content: object) -> str:
+    if content is None:
+        return '-'
+    if isinstance(content, float):
+        return str(round(content, DECIMALS))
+    if isinstance(content, list):
+        return ','.join(str(entry) for entry in content)
+    return str(content)
+
+
+__all__ = (
+    'EXIT_CONFLICT',
+    'EXIT_INVALID',
+    'EXIT_REFUSED',
+    'EXIT_UNCONFIRMED',
+    'EXIT_UNKNOWN',
+    'EXIT_UNREACHABLE',
+    'describe_failure',
+    'fail',
+    'find_exit_code',
+    'print_json',
+    'print_table',
+)
--- a/src/cranberryseam/configuration/model.py
+++ b/src/cranberryseam/configuration/model.py
@@ -207,7 +207,7 @@
         """
         if account.home:
             return RegionName(account.home)
-        digest = xxh64_intdigest(account.name)
+        digest = xxh64_intdigest(account.name.encode())
         return RegionName(regions[digest % len(regions)])
 
 
--- /dev/null
+++ b/src/cranberryseam/daemon/executor.py
@@ -0,0 +1,84 @@
+"""Execution of the reducer's effects."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from ..core.effects import Effect, IncrementCounter, StopProcess, WriteLog
+from ..core.events import Event
+from ..core.node import Node
+from .metrics import Metrics
+
+_logger = logging.getLogger('cranberryseam')
+
+
+class EffectHandler(Protocol):
+    """Something that executes some kinds of effects."""
+
+    def __call__(self, effect: Effect) -> bool:
+        """Execute an effect; return False if it is of another kind."""
+
+
+class Executor:
+    """Feeds events to the reducer and executes what it returns.
+
+    Parameters
+    ----------
+    node
+        The reducer.
+    metrics
+        Takes the counters.
+    stop
+        Called when the reducer has decided that the process may end.
+
+    """
+
+    def __init__(
+        self, node: Node, metrics: Metrics, stop: Callable[[], None]
+    ) -> None:
+        """Start without handlers; ``add_handler`` must follow."""
+        self._node = node
+        self._metrics = metrics
+        self._stop = stop
+        self._handlers: list[EffectHandler] = []
+        self._events: deque[Event] = deque()
+        self._running = False
+
+    def add_handler(self, handler: EffectHandler) -> None:
+        """Add a handler; handlers are tried in the order of their addition."""
+        self._handlers.append(handler)
+
+    def dispatch(self, event: Event) -> None:
+        """Apply an event, after those that are being applied."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        self._drain_events()
+        self._running = False
+
+    def _drain_events(self) -> None:
+        while self._events:
+            for effect in self._node.handle(self._events.popleft()):
+                self._execute(effect)
+
+    def _execute(self, effect: Effect) -> None:
+        if isinstance(effect, IncrementCounter):
+            self._metrics.increment(effect.name, effect.by)
+        elif isinstance(effect, WriteLog):
+            _logger.log(
+                effect.level, effect.message, extra={'fields': effect.fields}
+            )
+        elif isinstance(effect, StopProcess):
+            self._stop()
+        elif not any(handler(effect) for handler in self._handlers):
+            _logger.error(
+                'no handler for an effect',
+                extra={'fields': {'effect': type(effect).__name__}},
+            )
+
+
+__all__ = ('EffectHandler', 'Executor')
--- /dev/null
+++ b/src/cranberryseam/daemon/peers.py
@@ -0,0 +1,168 @@
+"""Sockets to and from the other VMs."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import pynng
+
+from ..core.codec import Codec
+from ..core.effects import Effect, RegisterPeer, SendMessage
+from ..core.events import MessageReceived
+from ..types import VmId
+from .metrics import Metrics
+
+# Messages that wait for one peer; what comes on top is dropped, because all
+# protocols repeat what matters.
+SEND_BUFFER_MESSAGES: Final = 128
+RECEIVE_BUFFER_MESSAGES: Final = 1024
+# Open sockets to other VMs; the one unused for longest is closed first.
+MOST_OPEN_SOCKETS: Final = 96
+RECONNECT_MIN_MS: Final = 50
+RECONNECT_MAX_MS: Final = 1000
+LARGEST_MESSAGE_BYTES: Final = 16_777_216
+
+_logger = logging.getLogger(__name__)
+
+
+class Peers:
+    """Sends and receives messages; a message may be lost.
+
+    Parameters
+    ----------
+    vm
+        Name of this VM, put into each envelope.
+    listener
+        Socket that all other VMs push to.
+    codec
+        Codec of the envelopes.
+    metrics
+        Counts dropped messages and bytes.
+
+    """
+
+    def __init__(
+        self, vm: VmId, listener: pynng.Pull0, codec: Codec, metrics: Metrics
+    ) -> None:
+        """Start without addresses."""
+        self._vm = vm
+        self._listener = listener
+        self._codec = codec
+        self._metrics = metrics
+        self._addresses: dict[VmId, str] = {}
+        self._sockets: OrderedDict[VmId, pynng.Push0] = OrderedDict()
+
+    def execute(self, effect: Effect) -> bool:
+        """Send a message or learn an address; False for other effects."""
+        if isinstance(effect, SendMessage):
+            self._send(effect)
+            return True
+        if isinstance(effect, RegisterPeer):
+            self.register(effect.vm, effect.address)
+            return True
+        return False
+
+    def register(self, vm: VmId, address: str) -> None:
+        """Remember the address of a VM; a changed one gets a new socket."""
+        if self._addresses.get(vm) == address:
+            return
+        self._addresses[vm] = address
+        socket = self._sockets.pop(vm, None)
+        if socket is not None:
+            socket.close()
+
+    async def receive(
+        self,
+        clock: Callable[[], float],
+        dispatch: Callable[[MessageReceived], None],
+    ) -> None:
+        """Dispatch messages until cancelled."""
+        while True:
+            raw = await self._listener.arecv()
+            self._metrics.increment('peers.bytes_received', len(raw))
+            decoded = self._codec.decode(raw)
+            if decoded.is_error():
+                self._metrics.increment('peers.undecodable')
+                continue
+            envelope = decoded.ok
+            dispatch(
+                MessageReceived(clock(), envelope.sender, envelope.message)
+            )
+
+    def close(self) -> None:
+        """Close all sockets to other VMs."""
+        while self._sockets:
+            self._sockets.popitem()[1].close()
+
+    def _send(self, effect: SendMessage) -> None:
+        socket = self._find_socket(effect.to)
+        if socket is None:
+            self._metrics.increment('peers.unknown_address')
+            return
+        raw = self._codec.encode(self._vm, effect.message)
+        try:
+            socket.send(raw, block=False)
+        except pynng.TryAgain:
+            self._metrics.increment('peers.dropped')
+            return
+        self._metrics.increment('peers.messages_sent')
+        self._metrics.increment('peers.bytes_sent', len(raw))
+
+    def _find_socket(self, vm: VmId) -> pynng.Push0 | None:
+        socket = self._sockets.get(vm)
+        if socket is not None:
+            self._sockets.move_to_end(vm)
+            return socket
+        address = self._addresses.get(vm)
+        if address is None:
+            return None
+        while len(self._sockets) >= MOST_OPEN_SOCKETS:
+            self._sockets.popitem(last=False)[1].close()
+        socket = _dial(address)
+        self._sockets[vm] = socket
+        return socket
+
+
+@contextmanager
+def open_peers(
+    vm: VmId, address: str, codec: Codec, metrics: Metrics
+) -> Iterator[Peers]:
+    """Listen for messages of other VMs.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` to listen on.
+
+    Raises
+    ------
+    pynng.NNGException
+        If the address can't be listened on.
+
+    """
+    listener = pynng.Pull0(
+        recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+        recv_max_size=LARGEST_MESSAGE_BYTES,
+    )
+    peers = Peers(vm, listener, codec, metrics)
+    try:
+        listener.listen(f'tcp://{address}')
+        yield peers
+    finally:
+        peers.close()
+        listener.close()
+
+
+def _dial(address: str) -> pynng.Push0:
+    socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+    socket.reconnect_time_min = RECONNECT_MIN_MS
+    socket.reconnect_time_max = RECONNECT_MAX_MS
+    socket.dial(f'tcp://{address}', block=False)
+    return socket
+
+
+__all__ = ('Peers', 'open_peers')
--- /dev/null
+++ b/src/cranberryseam/requests/admission.py
@@ -0,0 +1,114 @@
+"""Checks of a request before it uses any shared resource."""
+
+from __future__ import annotations
+
+from typing import Final, Protocol
+
+from expression import Error, Ok, Result
+
+from ..configuration.model import Configuration, Route
+from ..core.events import RequestArrived
+from ..core.refusals import Refusal, RefusalReason
+from ..types import AccountId
+from .state import RequestState
+
+# A longer wish of a caller would keep memory for work nobody waits for.
+MOST_TIMEOUT_S: Final = 300.0
+PUBLIC_ACCOUNT: Final = AccountId('(public)')
+
+
+class Keys(Protocol):
+    """The key table."""
+
+    def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
+        """Return the account of a key, or why it doesn't work."""
+
+
+def admit_request(
+    configuration: Configuration, keys: Keys, event: RequestArrived
+) -> Result[RequestState, Refusal]:
+    """Return the state of a new request, or why it is refused.
+
+    Parameters
+    ----------
+    configuration
+        The configuration in force.
+    keys
+        The key table.
+    event
+        The request.
+
+    """
+    head = event.head
+    route = configuration.find_route(head.method, head.path)
+    if route is not None and route.public:
+        return _admit_public(route, event)
+    if not head.key_hashes:
+        return _refuse(RefusalReason.key_missing)
+    if len(head.key_hashes) > 1:
+        return _refuse(RefusalReason.key_ambiguous)
+    account = keys.check(head.key_hashes[0], event.at)
+    if account.is_error():
+        return Error(account.error)
+    return _admit_account(configuration, route, account.ok, event)
+
+
+def _admit_public(
+    route: Route, event: RequestArrived
+) -> Result[RequestState, Refusal]:
+    if event.head.idempotency_key and event.head.method not in route.retriable:
+        # Without an account there is no owner for the claim; running it
+        # anyway would break the promise that the key stands for.
+        return _refuse(RefusalReason.idempotency_key_invalid)
+    return _check_deadline(_build_state(route, PUBLIC_ACCOUNT, 1, event))
+
+
+def _admit_account(
+    configuration: Configuration,
+    route: Route | None,
+    name: AccountId,
+    event: RequestArrived,
+) -> Result[RequestState, Refusal]:
+    account = configuration.accounts.get(name)
+    if account is None or account.plan not in configuration.plans:
+        return _refuse(RefusalReason.account_unknown)
+    plan = configuration.plans[account.plan]
+    if route is None:
+        return _refuse(RefusalReason.route_unknown)
+    if route.name not in plan.routes:
+        return _refuse(RefusalReason.route_not_in_plan)
+    return _check_deadline(_build_state(route, name, plan.weight, event))
+
+
+def _build_state(
+    route: Route, account: AccountId, weight: int, event: RequestArrived
+) -> RequestState:
+    head = event.head
+    timeout_s = head.timeout_s
+    if timeout_s is None:
+        timeout_s = route.deadline_at_minute(head.minute_of_day)
+    key_hash = None if route.public else head.key_hashes[0]
+    return RequestState(
+        request_id=event.request_id,
+        head=head,
+        route=route,
+        account=account,
+        weight=weight,
+        key_hash=key_hash,
+        deadline_at=event.at + min(timeout_s, MOST_TIMEOUT_S),
+        retriable=head.method in route.retriable,
+        attempt_at=event.at,
+    )
+
+
+def _check_deadline(state: RequestState) -> Result[RequestState, Refusal]:
+    if state.deadline_at <= state.attempt_at:
+        return _refuse(RefusalReason.deadline_too_short)
+    return Ok(state)
+
+
+def _refuse(reason: RefusalReason) -> Result[RequestState, Refusal]:
+    return Error(Refusal(reason))
+
+
+__all__ = ('MOST_TIMEOUT_S', 'PUBLIC_ACCOUNT', 'Keys', 'admit_request')
--- /dev/null
+++ b/src/cranberryseam/requests/attempts.py
@@ -0,0 +1,203 @@
+"""Attempts of a request: slot, sending, answer, retry."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core import effects as fx
+from ..core import events as ev
+from ..core import notices as nt
+from ..core.refusals import Ran, Refusal, RefusalReason
+from ..routing.model import AdmitRequest, AttemptOutcome
+from ..types import AttemptId, Output
+from .endings import Endings, count_refusal
+from .outcomes import classify_answer, classify_failure, refuse_failed
+from .state import RequestState, Stage
+
+# Attempts of one request, the first one included.
+MOST_ATTEMPTS: Final = 3
+
+_Outputs = list[Output]
+
+
+class Attempts:
+    """Sends requests to targets and decides on what comes back.
+
+    A request is sent again only if its method is retriable on its route, or if
+    the attempt provably didn't run: no byte was written, or the target said
+    so itself.
+
+    Parameters
+    ----------
+    endings
+        The requests in progress.
+
+    """
+
+    def __init__(self, endings: Endings) -> None:
+        """Start without attempts."""
+        self._endings = endings
+        self._router = endings.collaborators.router
+        self._last_attempt = 0
+
+    def queue_for_slot(self, state: RequestState, at: float) -> _Outputs:
+        """Ask for a slot for the next attempt."""
+        state.stage = Stage.slot
+        state.attempt += 1
+        admit = AdmitRequest(
+            request_id=state.request_id,
+            service=state.route.service,
+            account=state.account,
+            weight=state.weight,
+            lane=state.route.lane,
+            deadline_at=state.deadline_at,
+            retriable=state.retriable,
+            excluded=state.excluded,
+            attempt=state.attempt,
+        )
+        return list(self._router.admit(admit, at))
+
+    def start(self, notice: nt.SlotAssigned) -> _Outputs:
+        """Send the request to the target it has a slot of."""
+        state = self._endings.find(notice.request_id, Stage.slot)
+        if state is None:
+            return list(self._router.cancel(notice.request_id, notice.at))
+        left_s = state.deadline_at - notice.at
+        if left_s <= 0:
+            refusal = Refusal(RefusalReason.queue_timeout, _ran(state))
+            return [
+                *self._router.cancel(state.request_id, notice.at),
+                *self._endings.refuse(state, refusal, notice.at),
+            ]
+        self._last_attempt += 1
+        state.stage = Stage.answer
+        state.attempt_id = AttemptId(self._last_attempt)
+        state.attempt_at = notice.at
+        state.target = notice.target
+        state.slot_released = False
+        return [
+            fx.StartAttempt(
+                request_id=state.request_id,
+                attempt_id=state.attempt_id,
+                target=notice.target,
+                host=notice.host,
+                port=notice.port,
+                timeout_s=left_s,
+                keep_answer=state.claimed,
+            )
+        ]
+
+    def fail(self, event: ev.AttemptFailed) -> _Outputs:
+        """Retry or refuse after an attempt without an answer."""
+        state = self._endings.find_attempt(
+            event.request_id, event.attempt_id, Stage.answer
+        )
+        if state is None:
+            return []
+        state.may_have_run = state.may_have_run or event.sent
+        outcome = classify_failure(event.failure)
+        released = self._endings.release(state, outcome, event.at)
+        retry_is_safe = state.retriable or not event.sent
+        if retry_is_safe and self._take_retry(state, event.at):
+            return [*released, *self._retry(state, outcome, event.at)]
+        refusal = refuse_failed(state, event.failure)
+        return [*released, *self._endings.refuse(state, refusal, event.at)]
+
+    def take_answer(self, event: ev.AnswerReady) -> _Outputs:
+        """Forward an answer, or retry if another target may do better."""
+        state = self._endings.find_attempt(
+            event.request_id, event.attempt_id, Stage.answer
+        )
+        if state is None:
+            return []
+        outcome = classify_answer(event)
+        state.may_have_run = state.may_have_run or not event.not_run
+        faulty = outcome in {AttemptOutcome.failed, AttemptOutcome.shed}
+        retry_is_safe = faulty and (state.retriable or event.not_run)
+        if retry_is_safe and self._take_retry(state, event.at):
+            return [
+                fx.CancelAttempt(state.request_id, state.attempt_id),
+                *self._endings.release(state, outcome, event.at),
+                *self._retry(state, outcome, event.at),
+            ]
+        if event.not_run:
+            return self._refuse_overloaded(state, event)
+        return self._forward(state, event, outcome)
+
+    def end_answer(self, event: ev.AnswerEnded) -> _Outputs:
+        """End a request whose answer was forwarded."""
+        state = self._endings.find_attempt(
+            event.request_id, event.attempt_id, Stage.forwarding
+        )
+        if state is None:
+            return []
+        self._endings.states.pop(state.request_id)
+        if event.whole:
+            return [
+                *self._endings.release(state, state.outcome, event.at),
+                *self._endings.complete_claim(state, Ran.yes, event.at),
+            ]
+        return [
+            *self._endings.release(state, AttemptOutcome.failed, event.at),
+            *self._endings.complete_claim(state, Ran.unknown, event.at),
+            count_refusal(RefusalReason.answer_incomplete),
+        ]
+
+    def _refuse_overloaded(
+        self, state: RequestState, event: ev.AnswerReady
+    ) -> _Outputs:
+        refusal = Refusal(
+            RefusalReason.target_overloaded, _ran(state), event.retry_after_s
+        )
+        return [
+            fx.CancelAttempt(state.request_id, state.attempt_id),
+            *self._endings.release(state, AttemptOutcome.shed, event.at),
+            *self._endings.refuse(state, refusal, event.at),
+        ]
+
+    def _forward(
+        self,
+        state: RequestState,
+        event: ev.AnswerReady,
+        outcome: AttemptOutcome,
+    ) -> _Outputs:
+        outputs: _Outputs = []
+        if event.complete or state.caller_left:
+            outputs += self._endings.release(state, outcome, event.at)
+            outputs += self._endings.complete_claim(
+                state, Ran.yes, event.at, event.answer
+            )
+        if state.caller_left:
+            self._endings.states.pop(state.request_id)
+            outputs.append(fx.CancelAttempt(state.request_id, state.attempt_id))
+            return outputs
+        state.stage = Stage.forwarding
+        state.outcome = outcome
+        return [
+            *outputs,
+            fx.ForwardAnswer(state.request_id, state.attempt_id),
+            fx.IncrementCounter(f'answers.{outcome.value}'),
+        ]
+
+    def _take_retry(self, state: RequestState, at: float) -> bool:
+        if state.attempt >= MOST_ATTEMPTS or at >= state.deadline_at:
+            return False
+        if state.caller_left:
+            return False
+        service = state.route.service
+        return self._router.may_retry(service, state.account, at)
+
+    def _retry(
+        self, state: RequestState, outcome: AttemptOutcome, at: float
+    ) -> _Outputs:
+        if state.target is not None:
+            state.excluded |= {state.target}
+        counter = fx.IncrementCounter(f'retries.{outcome.value}')
+        return [counter, *self.queue_for_slot(state, at)]
+
+
+def _ran(state: RequestState) -> Ran:
+    return Ran.unknown if state.may_have_run else Ran.no
+
+
+__all__ = ('MOST_ATTEMPTS', 'Attempts')
--- /dev/null
+++ b/src/cranberryseam/requests/coordinator.py
@@ -0,0 +1,206 @@
+"""Request state machine: token, claim, slot, attempt, answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+from ..configuration.model import Configuration
+from ..core import effects as fx
+from ..core import events as ev
+from ..core import notices as nt
+from ..core.refusals import Ran, Refusal, RefusalReason
+from ..types import Output
+from .admission import PUBLIC_ACCOUNT, admit_request
+from .attempts import Attempts
+from .collaborators import Collaborators
+from .endings import Endings, count_refusal, render_refusal
+from .state import RequestState, Stage
+
+PART: Final = 'requests'
+# Streams are checked this often for keys that no longer work.
+STREAM_CHECK_S: Final = 1.0
+RETRY_AFTER_S: Final = 1.0
+_STREAM_TIMER: Final = 'streams'
+
+_Outputs = list[Output]
+
+
+class Coordinator:
+    """Drives every request of this VM from arrival to its end.
+
+    Parameters
+    ----------
+    collaborators
+        The parts that decide on keys, tokens, claims and slots.
+
+    """
+
+    def __init__(self, collaborators: Collaborators) -> None:
+        """Start without requests and without a configuration."""
+        self._with = collaborators
+        self._endings = Endings(collaborators)
+        self._attempts = Attempts(self._endings)
+        self._configuration = Configuration()
+        self._draining = False
+        self._steps: dict[type, Callable[[Any], _Outputs]] = {
+            ev.Started: self._start,
+            ev.RequestArrived: self._admit,
+            ev.AttemptFailed: self._attempts.fail,
+            ev.AnswerReady: self._attempts.take_answer,
+            ev.AnswerEnded: self._attempts.end_answer,
+            ev.CallerLeft: self._leave,
+            ev.TimerFired: self._check_streams,
+            nt.ConfigurationChanged: self._configure,
+            nt.KeysWithdrawn: self._check_keys,
+            nt.TokenGranted: self._after_token,
+            nt.TokenDenied: self._deny,
+            nt.ClaimGranted: self._after_claim,
+            nt.ClaimReplayed: self._replay,
+            nt.ClaimRefused: self._refuse_claim,
+            nt.SlotAssigned: self._attempts.start,
+            nt.SlotDenied: self._deny,
+        }
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self._endings.states)
+
+    def refuse_new(self) -> None:
+        """Refuse requests from now on because the VM drains."""
+        self._draining = True
+
+    def handle(self, event: ev.Event | nt.Notice) -> Sequence[Output]:
+        """Apply one event or notice; see ``Part``."""
+        step = self._steps.get(type(event))
+        return step(event) if step else []
+
+    def _start(self, event: ev.Started) -> _Outputs:
+        return [_set_stream_timer(event.at)]
+
+    def _configure(self, notice: nt.ConfigurationChanged) -> _Outputs:
+        self._configuration = notice.configuration
+        return []
+
+    def _admit(self, event: ev.RequestArrived) -> _Outputs:
+        refusal = self._find_vm_refusal()
+        if refusal is not None:
+            return render_refusal(event.request_id, refusal)
+        admitted = admit_request(self._configuration, self._with.keys, event)
+        if admitted.is_error():
+            return render_refusal(event.request_id, admitted.error)
+        state = admitted.ok
+        self._endings.states[state.request_id] = state
+        if state.account == PUBLIC_ACCOUNT:
+            return self._attempts.queue_for_slot(state, event.at)
+        return list(
+            self._with.limiter.acquire(
+                state.request_id, state.account, event.at
+            )
+        )
+
+    def _find_vm_refusal(self) -> Refusal | None:
+        reason = None
+        if self._draining:
+            reason = RefusalReason.draining
+        elif not self._configuration.version:
+            reason = RefusalReason.not_ready
+        return reason and Refusal(reason, retry_after_s=RETRY_AFTER_S)
+
+    def _after_token(self, notice: nt.TokenGranted) -> _Outputs:
+        state = self._endings.find(notice.request_id, Stage.token)
+        if state is None:
+            return []
+        key = state.head.idempotency_key
+        if key is None or state.retriable:
+            return self._attempts.queue_for_slot(state, notice.at)
+        state.stage = Stage.claim
+        return list(
+            self._with.claims.claim(
+                state.request_id,
+                state.account,
+                key,
+                state.head.fingerprint,
+                notice.at,
+            )
+        )
+
+    def _after_claim(self, notice: nt.ClaimGranted) -> _Outputs:
+        state = self._endings.find(notice.request_id, Stage.claim)
+        if state is None:
+            claims = self._with.claims
+            return list(
+                claims.complete(notice.request_id, None, Ran.no, notice.at)
+            )
+        state.claimed = True
+        return self._attempts.queue_for_slot(state, notice.at)
+
+    def _deny(self, notice: nt.TokenDenied | nt.SlotDenied) -> _Outputs:
+        state = self._endings.states.get(notice.request_id)
+        if state is None or state.stage not in {Stage.token, Stage.slot}:
+            return []
+        ran = Ran.unknown if state.may_have_run else Ran.no
+        refusal = Refusal(notice.reason, ran, notice.retry_after_s)
+        return self._endings.refuse(state, refusal, notice.at)
+
+    def _refuse_claim(self, notice: nt.ClaimRefused) -> _Outputs:
+        state = self._endings.find(notice.request_id, Stage.claim)
+        if state is None:
+            return []
+        refusal = Refusal(notice.reason, notice.ran, notice.retry_after_s)
+        return self._endings.refuse(state, refusal, notice.at)
+
+    def _replay(self, notice: nt.ClaimReplayed) -> _Outputs:
+        state = self._endings.find(notice.request_id, Stage.claim)
+        if state is None:
+            return []
+        self._endings.states.pop(state.request_id)
+        return [
+            fx.ReplayAnswer(state.request_id, notice.answer),
+            fx.IncrementCounter('answers.replayed'),
+        ]
+
+    def _leave(self, event: ev.CallerLeft) -> _Outputs:
+        state = self._endings.states.get(event.request_id)
+        if state is None:
+            return []
+        counter = count_refusal(RefusalReason.caller_left)
+        if state.stage is Stage.answer and state.claimed:
+            # The outcome of claimed work is needed by the next copy of it.
+            state.caller_left = True
+            return [counter]
+        return [counter, *self._endings.abandon(state, event.at)]
+
+    def _check_streams(self, event: ev.TimerFired) -> _Outputs:
+        return [*self._cut_requests(event.at), _set_stream_timer(event.at)]
+
+    def _check_keys(self, notice: nt.KeysWithdrawn) -> _Outputs:
+        return self._cut_requests(notice.at)
+
+    def _cut_requests(self, at: float) -> _Outputs:
+        outputs: _Outputs = []
+        for state in tuple(self._endings.states.values()):
+            refusal = self._find_key_refusal(state, at)
+            if refusal is not None:
+                outputs += self._endings.cut(state, refusal, at)
+        return outputs
+
+    def _find_key_refusal(
+        self, state: RequestState, at: float
+    ) -> Refusal | None:
+        if state.key_hash is None:
+            return None
+        # Work that must not repeat and has started is left to end, so that
+        # its outcome is known; no further work starts under the key.
+        if state.stage is Stage.answer and not state.retriable:
+            return None
+        checked = self._with.keys.check(state.key_hash, at)
+        return checked.error if checked.is_error() else None
+
+
+def _set_stream_timer(at: float) -> fx.SetTimer:
+    return fx.SetTimer(PART, _STREAM_TIMER, at + STREAM_CHECK_S)
+
+
+__all__ = ('PART', 'Coordinator')
--- /dev/null
+++ b/src/cranberryseam/requests/endings.py
@@ -0,0 +1,140 @@
+"""The ways in which a request ends, with what is given back at each."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..core import effects as fx
+from ..core.events import StoredAnswer
+from ..core.refusals import Ran, Refusal, RefusalReason
+from ..routing.model import AttemptOutcome
+from ..types import AttemptId, Output, RequestId
+from .collaborators import Collaborators
+from .state import RequestState, Stage
+
+_Outputs = list[Output]
+
+
+@attrs.define
+class Endings:
+    """The requests in progress and how each of them ends.
+
+    Parameters
+    ----------
+    collaborators
+        The parts that tokens, claims and slots are given back to.
+
+    """
+
+    collaborators: Collaborators
+    states: dict[RequestId, RequestState] = attrs.field(factory=dict)
+
+    def find(self, request_id: RequestId, stage: Stage) -> RequestState | None:
+        """Return a request if it waits in the stage."""
+        state = self.states.get(request_id)
+        return state if state and state.stage is stage else None
+
+    def find_attempt(
+        self, request_id: RequestId, attempt_id: AttemptId, stage: Stage
+    ) -> RequestState | None:
+        """Return a request if the attempt is its current one, in the stage.
+
+        The stage matters: a failure that is reported after the answer went
+        out must neither retry nor refuse.
+        """
+        state = self.find(request_id, stage)
+        if state is None or state.attempt_id != attempt_id:
+            return None
+        return state
+
+    def refuse(
+        self, state: RequestState, refusal: Refusal, at: float
+    ) -> _Outputs:
+        """End a request that holds neither token, slot nor attempt."""
+        self.states.pop(state.request_id)
+        claim = self.complete_claim(state, refusal.ran, at)
+        return [*claim, *render_refusal(state.request_id, refusal)]
+
+    def abandon(self, state: RequestState, at: float) -> _Outputs:
+        """End a request in any stage without telling the caller."""
+        self.states.pop(state.request_id)
+        started = state.stage in {Stage.answer, Stage.forwarding}
+        ran = Ran.unknown if started or state.may_have_run else Ran.no
+        outputs = self.complete_claim(state, ran, at)
+        if started:
+            outputs += self.release(state, AttemptOutcome.cancelled, at)
+            outputs.append(fx.CancelAttempt(state.request_id, state.attempt_id))
+        return [*outputs, *self._stop_waiting(state, at)]
+
+    def cut(self, state: RequestState, refusal: Refusal, at: float) -> _Outputs:
+        """End a request in any stage and tell the caller why."""
+        ran = refusal.ran
+        if state.may_have_run or state.stage is Stage.answer:
+            ran = Ran.unknown
+        told = Refusal(refusal.reason, ran, refusal.retry_after_s)
+        abandoned = self.abandon(state, at)
+        if state.stage is Stage.forwarding:
+            return [
+                *abandoned,
+                fx.CutRequest(state.request_id, told),
+                count_refusal(told.reason),
+            ]
+        return [*abandoned, *render_refusal(state.request_id, told)]
+
+    def release(
+        self, state: RequestState, outcome: AttemptOutcome, at: float
+    ) -> _Outputs:
+        """Give the slot back, once per attempt."""
+        if state.slot_released:
+            return []
+        state.slot_released = True
+        latency_s = at - state.attempt_at
+        router = self.collaborators.router
+        return list(
+            router.release(state.request_id, outcome, at, latency_s=latency_s)
+        )
+
+    def complete_claim(
+        self,
+        state: RequestState,
+        ran: Ran,
+        at: float,
+        answer: StoredAnswer | None = None,
+    ) -> _Outputs:
+        """Report the outcome of claimed work, once."""
+        if not state.claimed:
+            return []
+        state.claimed = False
+        claims = self.collaborators.claims
+        return list(claims.complete(state.request_id, answer, ran, at))
+
+    def _stop_waiting(self, state: RequestState, at: float) -> _Outputs:
+        request_id = state.request_id
+        others = self.collaborators
+        match state.stage:
+            case Stage.token:
+                return list(others.limiter.cancel(request_id, at))
+            case Stage.claim:
+                # A grant that is on its way must not stay open.
+                return list(
+                    others.claims.complete(request_id, None, Ran.no, at)
+                )
+            case Stage.slot:
+                return list(others.router.cancel(request_id, at))
+        return []
+
+
+def render_refusal(request_id: RequestId, refusal: Refusal) -> _Outputs:
+    """Return the refusal of a request with its counter."""
+    return [
+        fx.RefuseRequest(request_id, refusal),
+        count_refusal(refusal.reason),
+    ]
+
+
+def count_refusal(reason: RefusalReason) -> fx.IncrementCounter:
+    """Return the counter of a refusal reason."""
+    return fx.IncrementCounter(f'refusals.{reason.value}')
+
+
+__all__ = ('Endings', 'count_refusal', 'render_refusal')
--- /dev/null
+++ b/src/cranberryseam/requests/outcomes.py
@@ -0,0 +1,52 @@
+"""Meaning of what an attempt brought back."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.events import AnswerReady, AttemptFailure
+from ..core.refusals import Ran, Refusal, RefusalReason
+from ..routing.model import AttemptOutcome
+from .state import RequestState
+
+FIRST_CLIENT_ERROR: Final = 400
+FIRST_SERVER_ERROR: Final = 500
+TOO_MANY_REQUESTS: Final = 429
+SERVICE_UNAVAILABLE: Final = 503
+
+
+def classify_answer(event: AnswerReady) -> AttemptOutcome:
+    """Return what an answer says about the target."""
+    if event.not_run:
+        return AttemptOutcome.shed
+    if event.status in {TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE}:
+        return AttemptOutcome.shed
+    if event.status >= FIRST_SERVER_ERROR:
+        return AttemptOutcome.failed
+    if event.status >= FIRST_CLIENT_ERROR:
+        return AttemptOutcome.rejected
+    return AttemptOutcome.succeeded
+
+
+def classify_failure(failure: AttemptFailure) -> AttemptOutcome:
+    """Return what a failed attempt says about the target."""
+    if failure in {AttemptFailure.not_connected, AttemptFailure.not_sent}:
+        return AttemptOutcome.not_connected
+    if failure is AttemptFailure.timed_out:
+        return AttemptOutcome.timed_out
+    return AttemptOutcome.failed
+
+
+def refuse_failed(state: RequestState, failure: AttemptFailure) -> Refusal:
+    """Return the refusal of a request whose last attempt failed."""
+    if state.may_have_run:
+        reason = RefusalReason.outcome_unknown
+        if state.retriable and failure is AttemptFailure.timed_out:
+            reason = RefusalReason.deadline_expired
+        return Refusal(reason, Ran.unknown)
+    if failure is AttemptFailure.timed_out:
+        return Refusal(RefusalReason.deadline_expired)
+    return Refusal(RefusalReason.target_unreachable, retry_after_s=1)
+
+
+__all__ = ('classify_answer', 'classify_failure', 'refuse_failed')
--- /dev/null
+++ b/src/cranberryseam/requests/state.py
@@ -0,0 +1,68 @@
+"""State of the requests in progress on this VM."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from ..configuration.model import Route
+from ..core.events import RequestHead
+from ..routing.model import AttemptOutcome
+from ..types import AccountId, AttemptId, RequestId, TargetId
+
+
+class Stage(Enum):
+    """What a request waits for."""
+
+    token = 'token'
+    claim = 'claim'
+    slot = 'slot'
+    answer = 'answer'
+    forwarding = 'forwarding'
+
+
+@attrs.define
+class RequestState:
+    """One request in progress.
+
+    Parameters
+    ----------
+    key_hash
+        Hash of the key it carried; None on a public route.
+    retriable
+        True if its method may run more than once on this route.
+    may_have_run
+        True once a byte of an attempt may have reached a target that
+        didn't refuse it.
+    claimed
+        True while this VM owes the claim owner an outcome.
+    outcome
+        What the answer that is being forwarded says about the target.
+    caller_left
+        True if the attempt goes on only to learn the outcome of the claim.
+
+    """
+
+    request_id: RequestId
+    head: RequestHead
+    route: Route
+    account: AccountId
+    weight: int
+    key_hash: bytes | None
+    deadline_at: float
+    retriable: bool
+    stage: Stage = Stage.token
+    attempt: int = 0
+    attempt_id: AttemptId = AttemptId(0)
+    attempt_at: float = 0
+    target: TargetId | None = None
+    excluded: frozenset[TargetId] = frozenset()
+    may_have_run: bool = False
+    claimed: bool = False
+    slot_released: bool = False
+    caller_left: bool = False
+    outcome: AttemptOutcome = AttemptOutcome.succeeded
+
+
+__all__ = ('RequestState', 'Stage')
--- a/src/cranberryseam/serving/gateway.py
+++ b/src/cranberryseam/serving/gateway.py
@@ -250,7 +250,7 @@
         )
 
     def _count_refusal(self, reason: RefusalReason) -> None:
-        self._count(f'refused.{reason.value}')
+        self._count(f'refusals.{reason.value}')
 
     async def _answer_health(self, send: Send) -> None:
         status = HTTPStatus.OK
--- /dev/null
+++ b/tests/requests/fakes.py
@@ -0,0 +1,142 @@
+"""Fakes of the parts that a request passes through."""
+
+from __future__ import annotations
+
+import attrs
+from expression import Error, Ok, Result
+
+from cranberryseam.configuration.entries import apply_entry, diff_lists
+from cranberryseam.configuration.model import (
+    Account,
+    Configuration,
+    Lists,
+    Plan,
+    Route,
+    Service,
+)
+from cranberryseam.core.events import RequestHead, StoredAnswer
+from cranberryseam.core.notices import (
+    ClaimGranted,
+    ConfigurationChanged,
+    SlotAssigned,
+    TokenGranted,
+)
+from cranberryseam.core.refusals import Ran, Refusal, RefusalReason
+from cranberryseam.requests.collaborators import Collaborators
+from cranberryseam.requests.coordinator import Coordinator
+from cranberryseam.routing.model import AdmitRequest, AttemptOutcome
+from cranberryseam.types import (
+    AccountId,
+    Output,
+    RequestId,
+    ServiceName,
+    TargetId,
+)
+
+KEY_HASH = b'asha-key'
+LISTS = Lists(
+    accounts=(Account(AccountId('asha'), 'small'),),
+    plans=(Plan('small', 1, 1, 1, ('pay',)),),
+    routes=(
+        Route('pay', ServiceName('malipo'), '/pay', ('GET', 'POST')),
+        Route('open', ServiceName('malipo'), '/open', ('GET',), public=True),
+        Route('other', ServiceName('malipo'), '/other', ('GET',)),
+    ),
+    services=(Service(ServiceName('malipo')),),
+)
+
+
+@attrs.define
+class FakeParts:
+    """Grants everything at once and remembers what was given back."""
+
+    withdrawn: bool = False
+    retries: int = 10
+    delay_slots: bool = False
+    completed: list[tuple[RequestId, Ran]] = attrs.field(factory=list)
+    released: list[AttemptOutcome] = attrs.field(factory=list)
+    cancelled: list[RequestId] = attrs.field(factory=list)
+
+    def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
+        """Accept one key until it is withdrawn."""
+        if self.withdrawn:
+            return Error(Refusal(RefusalReason.key_withdrawn))
+        if key_hash != KEY_HASH:
+            return Error(Refusal(RefusalReason.key_unknown))
+        return Ok(AccountId('asha'))
+
+    def acquire(
+        self, request_id: RequestId, account: AccountId, at: float
+    ) -> list[Output]:
+        """Grant a token."""
+        return [TokenGranted(at, request_id)]
+
+    def claim(
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        key: str,
+        fingerprint: bytes,
+        at: float,
+    ) -> list[Output]:
+        """Grant a claim."""
+        return [ClaimGranted(at, request_id)]
+
+    def complete(
+        self,
+        request_id: RequestId,
+        answer: StoredAnswer | None,
+        ran: Ran,
+        at: float,
+    ) -> list[Output]:
+        """Note an outcome."""
+        self.completed.append((request_id, ran))
+        return []
+
+    def admit(self, request: AdmitRequest, at: float) -> list[Output]:
+        """Assign a slot of a target that was not tried."""
+        if self.delay_slots:
+            return []
+        target = TargetId(f't{len(request.excluded)}')
+        return [SlotAssigned(at, request.request_id, target, '127.0.0.1', 1)]
+
+    def release(
+        self,
+        request_id: RequestId,
+        outcome: AttemptOutcome,
+        at: float,
+        latency_s: float | None = None,
+    ) -> list[Output]:
+        """Note the outcome of an attempt."""
+        self.released.append(outcome)
+        return []
+
+    def cancel(self, request_id: RequestId, at: float) -> list[Output]:
+        """Note a cancelled wait."""
+        self.cancelled.append(request_id)
+        return []
+
+    def may_retry(
+        self, service: ServiceName, account: AccountId, at: float
+    ) -> bool:
+        """Take one of the retries that are left."""
+        self.retries -= 1
+        return self.retries >= 0
+
+
+def build_coordinator(parts: FakeParts) -> Coordinator:
+    """Return a coordinator with a configuration in force."""
+    coordinator = Coordinator(Collaborators(parts, parts, parts, parts))
+    entry = diff_lists(Configuration(), LISTS, '')
+    configuration = apply_entry(Configuration(), 1, entry)
+    coordinator.handle(ConfigurationChanged(0, configuration))
+    return coordinator
+
+
+def build_head(
+    method: str = 'POST', path: str = '/pay', key: str | None = None
+) -> RequestHead:
+    """Return the head of a request with the good key."""
+    return RequestHead(
+        method, path, key_hashes=(KEY_HASH,), idempotency_key=key
+    )
--- /dev/null
+++ b/tests/requests/test_coordinator.py
@@ -0,0 +1,231 @@
+"""Tests of the request state machine."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+import testtools
+from parameterized import parameterized
+
+from cranberryseam.core import effects as fx
+from cranberryseam.core import events as ev
+from cranberryseam.core.notices import KeysWithdrawn, Notice
+from cranberryseam.core.refusals import Ran, RefusalReason
+from cranberryseam.routing.model import AttemptOutcome
+from cranberryseam.types import AttemptId, RequestId
+
+from .fakes import FakeParts, build_coordinator, build_head
+
+FIRST = RequestId(1)
+FAILURE = ev.AttemptFailure
+
+
+class _Driver:
+    """Passes notices back, as the node does."""
+
+    def __init__(self, parts: FakeParts) -> None:
+        self.coordinator = build_coordinator(parts)
+
+    def apply(self, event: ev.Event | Notice) -> list[fx.Effect]:
+        inputs: deque[ev.Event | Notice] = deque((event,))
+        effects: list[fx.Effect] = []
+        while inputs:
+            for output in self.coordinator.handle(inputs.popleft()):
+                if isinstance(output, Notice):
+                    inputs.append(output)
+                else:
+                    effects.append(output)
+        return [
+            effect
+            for effect in effects
+            if not isinstance(effect, fx.IncrementCounter)
+        ]
+
+
+def _arrive(head: ev.RequestHead) -> ev.RequestArrived:
+    return ev.RequestArrived(1, FIRST, head)
+
+
+def _fail(
+    attempt: int, failure: ev.AttemptFailure, sent: bool
+) -> ev.AttemptFailed:
+    return ev.AttemptFailed(2, FIRST, AttemptId(attempt), failure, sent)
+
+
+def _answer(
+    attempt: int, status: int, *, complete: bool = True, not_run: bool = False
+) -> ev.AnswerReady:
+    return ev.AnswerReady(
+        2, FIRST, AttemptId(attempt), status, complete, not_run
+    )
+
+
+class AdmissionTest(testtools.TestCase):
+    """Guards against requests that run without a right to."""
+
+    @parameterized.expand(
+        [
+            ('no_key', {'key_hashes': ()}, RefusalReason.key_missing),
+            ('two', {'key_hashes': (b'a', b'b')}, RefusalReason.key_ambiguous),
+            ('bad', {'key_hashes': (b'a',)}, RefusalReason.key_unknown),
+            ('route', {'path': '/none'}, RefusalReason.route_unknown),
+            ('plan', {'path': '/other', 'method': 'GET'},
+             RefusalReason.route_not_in_plan),
+            ('late', {'timeout_s': 0}, RefusalReason.deadline_too_short),
+            ('open', {'path': '/open', 'method': 'POST', 'key_hashes': ()},
+             RefusalReason.key_missing),
+        ]
+    )  # fmt: skip
+    def test_refused(
+        self, _name: str, change: dict[str, object], reason: RefusalReason
+    ) -> None:
+        head = attrs.evolve(build_head(), **change)
+        effects = _Driver(FakeParts()).apply(_arrive(head))
+        self.assertEqual(len(effects), 1)
+        self.assertEqual(effects[0].refusal.reason, reason)
+        self.assertIs(effects[0].refusal.ran, Ran.no)
+
+    def test_public_route_needs_no_key(self) -> None:
+        head = attrs.evolve(build_head('GET', '/open'), key_hashes=())
+        effects = _Driver(FakeParts()).apply(_arrive(head))
+        self.assertIsInstance(effects[0], fx.StartAttempt)
+
+
+class AttemptTest(testtools.TestCase):
+    """Guards against non-idempotent work that runs twice."""
+
+    @parameterized.expand(
+        [
+            ('post_sent', 'POST', FAILURE.no_answer, True, Ran.unknown),
+            ('post_timeout', 'POST', FAILURE.timed_out, True, Ran.unknown),
+            ('post_unsent', 'POST', FAILURE.not_connected, False, None),
+            ('post_stale', 'POST', FAILURE.not_sent, False, None),
+            ('get_sent', 'GET', FAILURE.no_answer, True, None),
+        ]
+    )
+    def test_failed_attempt(
+        self,
+        _name: str,
+        method: str,
+        failure: ev.AttemptFailure,
+        sent: bool,
+        ran: Ran | None,
+    ) -> None:
+        driver = _Driver(FakeParts())
+        driver.apply(_arrive(build_head(method)))
+        effect = driver.apply(_fail(1, failure, sent))[0]
+        if ran is None:
+            self.assertEqual(effect.target, 't1')
+        else:
+            self.assertEqual(effect.refusal.ran, ran)
+            self.assertEqual(
+                effect.refusal.reason, RefusalReason.outcome_unknown
+            )
+
+    @parameterized.expand(
+        [
+            ('post_500', 'POST', 500, False, fx.ForwardAnswer),
+            ('post_503', 'POST', 503, False, fx.ForwardAnswer),
+            ('post_not_run', 'POST', 503, True, fx.CancelAttempt),
+            ('get_500', 'GET', 500, False, fx.CancelAttempt),
+            ('get_404', 'GET', 404, False, fx.ForwardAnswer),
+            ('post_200', 'POST', 200, False, fx.ForwardAnswer),
+        ]
+    )
+    def test_answer(
+        self,
+        _name: str,
+        method: str,
+        status: int,
+        not_run: bool,
+        kind: type[fx.Effect],
+    ) -> None:
+        driver = _Driver(FakeParts())
+        driver.apply(_arrive(build_head(method)))
+        effects = driver.apply(_answer(1, status, not_run=not_run))
+        self.assertIsInstance(effects[0], kind)
+        retried = any(isinstance(each, fx.StartAttempt) for each in effects)
+        self.assertEqual(retried, kind is fx.CancelAttempt)
+
+    def test_retries_end_with_the_budget(self) -> None:
+        driver = _Driver(FakeParts(retries=0))
+        driver.apply(_arrive(build_head()))
+        effect = driver.apply(_fail(1, FAILURE.not_connected, False))[0]
+        self.assertIs(effect.refusal.ran, Ran.no)
+
+    def test_late_attempt_is_ignored(self) -> None:
+        """An answer of a cancelled attempt must not reach the caller."""
+        driver = _Driver(FakeParts())
+        driver.apply(_arrive(build_head('GET')))
+        driver.apply(_answer(1, 500))
+        self.assertEqual(driver.apply(_answer(1, 200)), [])
+        self.assertIsInstance(
+            driver.apply(_answer(2, 200))[0], fx.ForwardAnswer
+        )
+
+    def test_broken_stream_is_not_whole(self) -> None:
+        parts = FakeParts()
+        driver = _Driver(parts)
+        driver.apply(_arrive(build_head(key='k')))
+        driver.apply(_answer(1, 200, complete=False))
+        driver.apply(ev.AnswerEnded(3, FIRST, AttemptId(1), whole=False))
+        self.assertEqual(parts.completed, [(FIRST, Ran.unknown)])
+        self.assertEqual(parts.released, [AttemptOutcome.failed])
+        self.assertEqual(driver.coordinator.in_progress, 0)
+
+
+class LeavingTest(testtools.TestCase):
+    """Guards against work for callers and keys that are gone."""
+
+    @parameterized.expand([('claimed', 'k'), ('plain', None)])
+    def test_caller_left_while_running(
+        self, _name: str, key: str | None
+    ) -> None:
+        parts = FakeParts()
+        driver = _Driver(parts)
+        driver.apply(_arrive(build_head(key=key)))
+        effects = driver.apply(ev.CallerLeft(2, FIRST))
+        self.assertEqual(bool(effects), key is None)
+        driver.apply(_answer(1, 200))
+        if key:
+            self.assertEqual(parts.completed, [(FIRST, Ran.yes)])
+        self.assertEqual(driver.coordinator.in_progress, 0)
+
+    def test_caller_left_while_waiting(self) -> None:
+        parts = FakeParts(delay_slots=True)
+        driver = _Driver(parts)
+        driver.apply(_arrive(build_head(key='k')))
+        driver.apply(ev.CallerLeft(2, FIRST))
+        self.assertEqual(parts.cancelled, [FIRST])
+        self.assertEqual(parts.completed, [(FIRST, Ran.no)])
+
+    @parameterized.expand(
+        [
+            ('waiting', 'POST', True, None, fx.RefuseRequest, Ran.no),
+            ('get', 'GET', False, None, fx.RefuseRequest, Ran.unknown),
+            ('post', 'POST', False, None, None, None),
+            ('stream', 'GET', False, 200, fx.CutRequest, Ran.unknown),
+        ]
+    )
+    def test_withdrawn_key(
+        self,
+        _name: str,
+        method: str,
+        waits: bool,
+        status: int | None,
+        kind: type[fx.Effect] | None,
+        ran: Ran | None,
+    ) -> None:
+        parts = FakeParts(delay_slots=waits)
+        driver = _Driver(parts)
+        driver.apply(_arrive(build_head(method)))
+        if status:
+            driver.apply(_answer(1, status, complete=False))
+        parts.withdrawn = True
+        effects = driver.apply(KeysWithdrawn(3, ()))
+        if kind is None:
+            self.assertEqual(effects, [])
+        else:
+            self.assertIsInstance(effects[-1], kind)
+            self.assertIs(effects[-1].refusal.ran, ran)
