Refuse unknown members of the lists; tell callers of early cuts

Cause: a misspelt member of a plan would silently become its default, and a request cut before any byte was sent ended in a bare 500. Change: POST /v1/lists names the first unknown member; CutRequest is a refusal while nothing was sent.

--- a/src/cranberryseam/serving/admin_routes.py
+++ b/src/cranberryseam/serving/admin_routes.py
@@ -18,6 +18,7 @@
 from .credentials import KEY_HASH_BYTES
 from .documents import decode_document
 from .failures import NoSuchResource
+from .list_members import find_unknown_member
 
 _Built: TypeAlias = Result[commands.Command, Failure]
 _GET = 'GET'
@@ -72,13 +73,22 @@
 
 
 def _apply_lists(raw: bytes, _name: str) -> _Built:
-    return decode_document(raw, ListsBody).map(
-        lambda body: commands.ApplyLists(
-            body.command_key, body.based_on, body.lists
-        )
+    return decode_document(raw, ListsBody).bind(
+        lambda body: _build_lists(raw, body)
     )
 
 
+def _build_lists(raw: bytes, body: ListsBody) -> _Built:
+    unknown = find_unknown_member(raw)
+    if unknown is not None:
+        return Error(
+            InvalidInput(
+                'request body', unknown, 'an unknown member', 'a known one'
+            )
+        )
+    return Ok(commands.ApplyLists(body.command_key, body.based_on, body.lists))
+
+
 def _grant_key(raw: bytes, _name: str) -> _Built:
     return decode_document(raw, KeyBody).bind(_build_grant)
 
--- a/src/cranberryseam/serving/credentials.py
+++ b/src/cranberryseam/serving/credentials.py
@@ -47,7 +47,8 @@
     """Compare the only key of a request with a hash in constant time."""
     if len(key_hashes) != 1 or not expected_hex:
         return False
-    return hmac.compare_digest(key_hashes[0].hex(), expected_hex.lower())
+    expected = expected_hex.lower().encode()
+    return hmac.compare_digest(key_hashes[0].hex().encode(), expected)
 
 
 def _read_bearer(field: bytes) -> bytes:
--- a/src/cranberryseam/serving/gateway.py
+++ b/src/cranberryseam/serving/gateway.py
@@ -28,7 +28,7 @@
     CallerLeft,
     Event,
 )
-from ..core.refusals import Refusal, RefusalReason
+from ..core.refusals import Ran, Refusal, RefusalReason
 from ..types import AttemptId, RequestId
 from .arrivals import build_arrival
 from .asgi import (
@@ -221,6 +221,9 @@
                 await send_answer(
                     call.send, answer.status, headers, answer.body
                 )
+            case Ending.broken if not call.answering:
+                unknown = Refusal(RefusalReason.outcome_unknown, Ran.unknown)
+                await send_refusal(call.send, unknown, closing=True)
             # Otherwise nothing is left to send; the server closes the
             # connection if the answer is not complete.
 
@@ -289,6 +292,8 @@
     def _cut_request(self, effect: CutRequest) -> None:
         call = self._calls.get(effect.request_id)
         if call is not None:
+            # Without any byte sent, the caller can still be told why.
+            self._settle(RefuseRequest(effect.request_id, effect.refusal))
             call.end(Ending.broken)
             for attempt in tuple(call.attempts.values()):
                 attempt.cancel()
--- a/tests/serving/test_admin.py
+++ b/tests/serving/test_admin.py
@@ -123,6 +123,40 @@
         self.assertEqual(command.lists.accounts[0].plan, 'small')
         self.assertEqual(command.lists.plans[0].routes, ('pay',))
 
+    @parameterized.expand(
+        [
+            ('list', {'plan': []}, 'lists.plan'),
+            ('row', {'accounts': [{'plna': 'x'}]}, 'lists.accounts[0].plna'),
+            (
+                'window',
+                {'routes': [{'windows': [{'stop': 1}]}]},
+                'lists.routes[0].windows[0].stop',
+            ),
+        ]
+    )
+    def test_misspelt_member(self, _name, change, path) -> None:
+        rows = {
+            'accounts': {'name': 'a', 'plan': 'p'},
+            'routes': {
+                'name': 'r',
+                'service': 's',
+                'prefix': '/',
+                'methods': [],
+            },
+        }
+        lists = {
+            name: [{**rows[name], **row} for row in changed]
+            for name, changed in change.items()
+        }
+        for route in lists.get('routes', ()):
+            route['windows'][0].update(
+                start_minute=0, end_minute=1, deadline_s=1
+            )
+        document = {'command_key': 'c', 'based_on': 4, 'lists': lists}
+        response, events = call('POST', '/v1/lists', document)
+        self.assertEqual((response.status_code, events), (400, []))
+        self.assertEqual(response.json()['key'], path)
+
     def test_initialise(self) -> None:
         _, events = call('POST', '/v1/fleet/initialise')
         self.assertLess(abs(events[0].command.wall_s - time.time()), 5)
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -271,6 +271,19 @@
         self.assertTrue(reply.startswith(b'HTTP/1.1 200'))
         self.assertFalse(reply.endswith(b'0\r\n\r\n'))
 
+    def test_cut_before_any_byte_is_a_refusal(self) -> None:
+        reducer = GrantingReducer()
+        reducer.rules[RequestArrived] = lambda event: [
+            CutRequest(event.request_id, Refusal(RefusalReason.key_withdrawn))
+        ]
+
+        async def scenario() -> bytes:
+            async with run_stage(reducer) as stage:
+                return await stage.send_raw(GET)
+
+        reply = asyncio.run(scenario())
+        self.assertTrue(reply.startswith(b'HTTP/1.1 401'), reply)
+
     def test_stalled_caller_stops_reading_from_the_target(self) -> None:
         async def pour(reader, writer) -> None:
             await read_request(reader)
