--- a/src/cranberryseam/cli/lists.py
+++ b/src/cranberryseam/cli/lists.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 
 from ..configuration.lists import parse_lists
@@ -51,11 +53,7 @@
         """
         lists = read_lists(customers, usage)
         key = choose_command_key(command_key)
-        body = {
-            'command_key': key,
-            'based_on': based_on,
-            'lists': attrs.asdict(lists),
-        }
+        body = build_lists_body(key, based_on, lists)
         answer = self._connect().ask_any('POST', '/v1/lists', body)
         if answer.is_error():
             fail(answer.error)
@@ -66,6 +64,17 @@
         print(f'version {version} accepted')  # noqa: WPS421
 
 
+def build_lists_body(
+    command_key: str, based_on: int, lists: Lists
+) -> dict[str, Any]:
+    """Return the body of the command that replaces the lists."""
+    return {
+        'command_key': command_key,
+        'based_on': based_on,
+        'lists': attrs.asdict(lists),
+    }
+
+
 def read_lists(customers: str, usage: str) -> Lists:
     """Return the checked lists of two files, or exit with all problems."""
     parsed = parse_lists(read_text(customers), read_text(usage))
@@ -74,4 +83,4 @@
     return parsed.ok
 
 
-__all__ = ('ListCommands', 'read_lists')
+__all__ = ('ListCommands', 'build_lists_body', 'read_lists')
--- a/src/cranberryseam/cli/main.py
+++ b/src/cranberryseam/cli/main.py
@@ -7,8 +7,9 @@
 import fire
 
 from ..configuration.files import load_settings
-from .context import build_client
+from .context import build_client, read_text
 from .fleet import ControlCommands, FleetCommands, KeyCommands
+from .keys import hash_key
 from .lists import ListCommands, read_lists
 from .output import fail
 
@@ -28,6 +29,11 @@
         read_lists(customers, usage)
         print(f'{customers}, {usage}: usable')  # noqa: WPS421
 
+    def hash(self, path: str) -> None:
+        """Print the hash of the key in a file, for settings and lists."""
+        key = read_text(path).strip()
+        print(hash_key(key).hex())  # noqa: WPS421
+
 
 class Tool:
     """Operate a cranberryseam fleet.
--- /dev/null
+++ b/src/cranberryseam/experiments/demo.py
@@ -0,0 +1,381 @@
+"""Demonstration: a small fleet, real requests, and faults meanwhile.
+
+Run by ``make demo``. Exits with 1 if a promise was broken.
+"""
+
+from __future__ import annotations
+
+import signal
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, Final
+
+import anyio
+import attrs
+import httpx
+
+from ..cli.client import AdminClient
+from ..cli.keys import generate_key, hash_key
+from ..cli.lists import build_lists_body
+from ..cli.output import describe_failure, print_table
+from ..configuration.lists import parse_lists
+from .callers import Caller, Sent, count_reasons, repeat, repeat_orders
+from .demo_lists import BIG_BURST, BIG_RATE, CUSTOMERS, build_usage
+from .local import (
+    ADMIN_KEY,
+    LOOPBACK,
+    TARGET_KEY,
+    LocalLayout,
+    LocalVm,
+    plan_layout,
+    run_process,
+    run_vm,
+)
+
+FIRST_PORT: Final = 21000
+FIRST_TARGET_PORT: Final = 21800
+TARGETS_PER_SERVICE: Final = 3
+SERVICES: Final = ('katalogi', 'malipo')
+ENTRY_VMS: Final = 3
+CONTROL_VMS: Final = 3
+START_TIMEOUT_S: Final = 25.0
+# Members that started this long before the fleet was initialised know that
+# no earlier idempotency records exist.
+INITIALISE_AFTER_S: Final = 2.5
+TRAFFIC_S: Final = 12.0
+KILL_CONTROL_AT_S: Final = 2.0
+KILL_TARGET_AT_S: Final = 3.0
+WITHDRAW_AT_S: Final = 5.0
+# Stated goal: seconds until a withdrawn key is refused at every VM.
+WITHDRAWAL_GOAL_S: Final = 5.0
+BIG_OVERLOAD: Final = 5
+
+
+@attrs.define
+class Demo:
+    """The running fleet with its callers and what they were told."""
+
+    layout: LocalLayout
+    client: AdminClient
+    vms: dict[str, subprocess.Popen[bytes]]
+    targets: dict[str, subprocess.Popen[bytes]]
+    keys: dict[str, str] = attrs.field(factory=dict)
+    journal: list[Sent] = attrs.field(factory=list)
+    executions: Counter[str] = attrs.field(factory=Counter)
+    caller_keys_seen: int = 0
+    withdrawn_at: float = 0
+
+    def build_callers(self, account: str) -> list[Caller]:
+        """Return a caller for each entry VM."""
+        return [
+            Caller(
+                account, vm.name, vm.callers, self.keys[account], self.journal
+            )
+            for vm in self.layout.entry
+        ]
+
+
+def main() -> None:
+    """Run the demonstration."""
+    with tempfile.TemporaryDirectory(prefix='cranberryseam-') as folder:
+        layout = plan_layout(
+            Path(folder), ('dar',), ENTRY_VMS, CONTROL_VMS, FIRST_PORT
+        )
+        with ExitStack() as stack:
+            demo = start_fleet(layout, stack)
+            anyio.run(run_traffic, demo)
+            collect_counts(demo)
+            failures = report(demo)
+        print_logs(layout, failures)
+    sys.exit(1 if failures else 0)
+
+
+def start_fleet(layout: LocalLayout, stack: ExitStack) -> Demo:
+    """Start all processes, form the fleet and apply the lists."""
+    vms = {
+        vm.name: stack.enter_context(run_vm(layout, vm)) for vm in layout.vms
+    }
+    targets = {
+        name: stack.enter_context(run_process(arguments, path))
+        for name, arguments, path in describe_targets(layout)
+    }
+    addresses = tuple(vm.admin for vm in layout.control)
+    client = AdminClient(addresses, ADMIN_KEY)
+    demo = Demo(layout, client, vms, targets)
+    wait_for('administration API', lambda: can_reach_all(demo))
+    time.sleep(INITIALISE_AFTER_S)
+    ask(demo, 'POST', '/v1/fleet/initialise')
+    wait_for('configuration', lambda: apply_lists(demo))
+    for account in ('asha', 'zuri', 'bahari'):
+        demo.keys[account] = grant_key(demo, account)
+    wait_for('entry VMs', lambda: all(map(is_ready, layout.entry)))
+    wait_for('targets', lambda: sees_all_targets(demo))
+    wait_for('replica group', lambda: anyio.run(can_order, demo))
+    demo.journal.clear()
+    return demo
+
+
+def describe_targets(
+    layout: LocalLayout,
+) -> list[tuple[str, list[str], Path]]:
+    """Return name, arguments and log file of each stand-in target."""
+    announce = ','.join(vm.targets for vm in layout.entry)
+    names = [
+        (service, f'{service}-{number}')
+        for service in SERVICES
+        for number in range(1, TARGETS_PER_SERVICE + 1)
+    ]
+    return [
+        (
+            name,
+            [
+                'cranberryseam.experiments.target',
+                f'--name={name}',
+                f'--service={service}',
+                f'--key={TARGET_KEY}',
+                f'--announce={announce}',
+                f'--port={port}',
+                '--region=dar',
+                '--data-centre=dar-a',
+                '--latency-s=0.02',
+            ],
+            layout.folder / f'{name}.log',
+        )
+        for port, (service, name) in enumerate(names, FIRST_TARGET_PORT)
+    ]
+
+
+def wait_for(what: str, check: Callable[[], bool]) -> None:
+    """Wait until a check holds; exit if it doesn't in time."""
+    give_up_at = time.monotonic() + START_TIMEOUT_S
+    while not check():
+        if time.monotonic() > give_up_at:
+            sys.exit(f'{what}: not there after {START_TIMEOUT_S} s')
+        time.sleep(0.1)
+
+
+def ask(demo: Demo, method: str, path: str, body: object = None) -> Any:
+    """Return the answer of a command; exit if there is none."""
+    result = demo.client.ask_any(method, path, body)
+    if result.is_error():
+        failure = describe_failure(result.error)
+        sys.exit(f'{method} {path}: {failure}')
+    return result.ok
+
+
+def can_reach_all(demo: Demo) -> bool:
+    """Return whether every control VM answers."""
+    results = demo.client.ask_all('GET', '/v1/control')
+    return all(result.is_ok() for result in results.values())
+
+
+def apply_lists(demo: Demo) -> bool:
+    """Apply the two lists; False while there is no control leader."""
+    lists = parse_lists(CUSTOMERS, build_usage(), ('dar',)).ok
+    body = build_lists_body('demo-lists', 0, lists)
+    return demo.client.ask_any('POST', '/v1/lists', body).is_ok()
+
+
+def grant_key(demo: Demo, account: str) -> str:
+    """Grant a key with the name of its account and return it."""
+    key = generate_key()
+    body = {
+        'command_key': f'grant-{account}',
+        'key_id': account,
+        'account': account,
+        'key_hash': hash_key(key).hex(),
+    }
+    ask(demo, 'POST', '/v1/keys', body)
+    return key
+
+
+def is_ready(vm: LocalVm) -> bool:
+    """Return whether an entry VM takes requests."""
+    try:
+        response = httpx.get(f'http://{vm.callers}/-/ready', trust_env=False)
+    except httpx.HTTPError:
+        return False
+    return response.is_success
+
+
+def sees_all_targets(demo: Demo) -> bool:
+    """Return whether every entry VM lists all targets."""
+    expected = TARGETS_PER_SERVICE * len(SERVICES)
+    for vm in demo.layout.entry:
+        answer = demo.client.ask(vm.admin, 'GET', '/v1/targets')
+        if answer.is_error() or len(answer.ok['body']['targets']) < expected:
+            return False
+    return True
+
+
+async def can_order(demo: Demo) -> bool:
+    """Return whether an order is answered, so that a group has a leader."""
+    caller = demo.build_callers('asha')[0]
+    sent = await caller.order('/orders', f'warm-up-{len(demo.journal)}')
+    return not sent.reason
+
+
+async def run_traffic(demo: Demo) -> None:
+    """Send requests of three accounts while parts of the fleet fail."""
+    async with anyio.create_task_group() as tasks:
+        for account, interval_s in (
+            ('asha', 0.05),
+            ('zuri', 0.05),
+            ('bahari', 1 / (BIG_RATE * BIG_OVERLOAD)),
+        ):
+            callers = demo.build_callers(account)
+            tasks.start_soon(
+                repeat, callers, '/catalogue/1', interval_s, TRAFFIC_S
+            )
+        tasks.start_soon(
+            repeat_orders, demo.build_callers('asha'), '/orders', 0.1, TRAFFIC_S
+        )
+        tasks.start_soon(inject_faults, demo)
+
+
+async def inject_faults(demo: Demo) -> None:
+    """Kill a control VM and a target, then withdraw a key."""
+    await anyio.sleep(KILL_CONTROL_AT_S)
+    leader = await anyio.to_thread.run_sync(find_leader, demo)
+    demo.vms[leader].send_signal(signal.SIGKILL)
+    await anyio.sleep(KILL_TARGET_AT_S - KILL_CONTROL_AT_S)
+    demo.targets['katalogi-1'].send_signal(signal.SIGKILL)
+    await anyio.sleep(WITHDRAW_AT_S - KILL_TARGET_AT_S)
+    demo.withdrawn_at = time.monotonic()
+    await anyio.to_thread.run_sync(withdraw_key, demo)
+
+
+def find_leader(demo: Demo) -> str:
+    """Return the name of the control leader."""
+    for vm in demo.layout.control:
+        answer = demo.client.ask(vm.admin, 'GET', '/v1/control')
+        if answer.is_ok() and answer.ok['body'].get('role') == 'leader':
+            return vm.name
+    return demo.layout.control[0].name
+
+
+def withdraw_key(demo: Demo) -> None:
+    """Withdraw the key of zuri at the first VM that takes the command."""
+    ask(demo, 'POST', '/v1/keys/zuri/withdraw', {'command_key': 'withdraw'})
+
+
+def collect_counts(demo: Demo) -> None:
+    """Ask the targets that live what they executed and which keys they saw."""
+    for position, name in enumerate(demo.targets):
+        if demo.targets[name].poll() is not None:
+            continue
+        address = f'{LOOPBACK}:{FIRST_TARGET_PORT + position}'
+        counts = httpx.get(f'http://{address}/-/counts', trust_env=False).json()
+        demo.executions.update(counts['executions'])
+        demo.caller_keys_seen += len(counts['keys_seen'])
+
+
+def report(demo: Demo) -> list[str]:
+    """Print what happened and return the promises that were broken."""
+    rows = [describe_account(demo, name) for name in sorted(demo.keys)]
+    print_table(rows, 'account sent answered refused broken')
+    reasons = count_reasons(demo.journal)
+    refused = [
+        {'refusal': reason, 'count': count}
+        for reason, count in sorted(reasons.items())
+    ]
+    print_table(refused, 'refusal count')
+    checks = list(check_promises(demo))
+    print_table(checks, 'check value bound result')
+    return [row['check'] for row in checks if row['result'] != 'ok']
+
+
+def describe_account(demo: Demo, account: str) -> dict[str, object]:
+    """Return how the requests of an account ended."""
+    sent = [each for each in demo.journal if each.account == account]
+    broken = sum(each.status == 0 for each in sent)
+    answered = sum(not each.reason for each in sent)
+    return {
+        'account': account,
+        'sent': len(sent),
+        'answered': answered,
+        'refused': len(sent) - answered - broken,
+        'broken': broken,
+    }
+
+
+def check_promises(demo: Demo) -> list[dict[str, Any]]:
+    """Return one row per promise that the demonstration can check."""
+    orders = {
+        sent.work_id for sent in demo.journal if '-order-' in sent.work_id
+    }
+    ran_twice = sum(demo.executions[order] > 1 for order in orders)
+    answered = find_orders(demo, lambda sent: not sent.reason)
+    untrue = find_orders(demo, lambda sent: sent.ran == 'no') - answered
+    untrue_refusals = sum(demo.executions[order] > 0 for order in untrue)
+    lost = sum(not demo.executions[order] for order in answered)
+    unanswered = sum(sent.status == 0 for sent in demo.journal)
+    admitted = describe_account(demo, 'bahari')['answered']
+    most = BIG_RATE * (TRAFFIC_S + 1) + BIG_BURST
+    return [
+        judge('orders that ran twice', ran_twice, 0),
+        judge('orders answered but not run', lost, 0),
+        judge('orders run but refused as not run', untrue_refusals, 0),
+        judge('orders answered', len(answered), len(orders) // 2, least=True),
+        judge('caller keys seen by targets', demo.caller_keys_seen, 0),
+        judge('connections broken', unanswered, 0),
+        judge('requests of bahari admitted', admitted, most),
+        *judge_withdrawal(demo),
+    ]
+
+
+def find_orders(demo: Demo, check: Callable[[Sent], bool]) -> set[str]:
+    """Return the orders of which a copy was told what the check looks for."""
+    return {
+        sent.work_id
+        for sent in demo.journal
+        if '-order-' in sent.work_id and check(sent)
+    }
+
+
+def judge_withdrawal(demo: Demo) -> list[dict[str, Any]]:
+    """Return a row per entry VM: seconds until the key was refused."""
+    rows = []
+    for vm in demo.layout.entry:
+        accepted = [
+            sent.sent_at - demo.withdrawn_at
+            for sent in demo.journal
+            if sent.account == 'zuri' and sent.vm == vm.name and not sent.reason
+        ]
+        seconds = round(max((0, *accepted)), 3)
+        name = f'seconds until {vm.name} refused the withdrawn key'
+        rows.append(judge(name, seconds, WITHDRAWAL_GOAL_S))
+    return rows
+
+
+def judge(
+    check: str, figure: Any, bound: float, *, least: bool = False
+) -> dict[str, Any]:
+    """Return a row that compares a figure with its bound."""
+    kept = figure >= bound if least else figure <= bound
+    sign = '>=' if least else '<='
+    return {
+        'check': check,
+        'value': figure,
+        'bound': f'{sign} {bound}',
+        'result': 'ok' if kept else 'BROKEN',
+    }
+
+
+def print_logs(layout: LocalLayout, failures: list[str]) -> None:
+    """Print the end of all logs if a promise was broken."""
+    if not failures:
+        return
+    for path in sorted(layout.folder.glob('*.log')):
+        lines = path.read_text(encoding='utf-8').splitlines()[-10:]
+        print(f'--- {path.name}', *lines, sep='\n')  # noqa: WPS421
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/cranberryseam/experiments/demo_lists.py
@@ -0,0 +1,77 @@
+"""The two lists of the demonstration."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..cli.keys import hash_key
+from .local import TARGET_KEY
+
+BIG_RATE: Final = 20
+BIG_BURST: Final = 20
+
+CUSTOMERS: Final = """
+[accounts.asha]
+plan = "trader"
+home = "dar"
+
+[accounts.zuri]
+plan = "trader"
+home = "dar"
+
+[accounts.bahari]
+plan = "wholesale"
+home = "dar"
+"""
+
+_USAGE: Final = """
+[services.katalogi]
+floor = "50%"
+target_key_hashes = ["{target_key_hash}"]
+
+[services.malipo]
+floor = "50%"
+target_key_hashes = ["{target_key_hash}"]
+
+[routes.catalogue]
+service = "katalogi"
+prefix = "/catalogue"
+methods = ["GET"]
+deadline = "4s"
+
+[[routes.catalogue.windows]]
+start = "07:00"
+end = "10:00"
+deadline = "2s"
+
+[routes.orders]
+service = "malipo"
+prefix = "/orders"
+methods = ["POST"]
+retriable = []
+deadline = "8s"
+
+[plans.trader]
+rate = "100/s"
+burst = 50
+weight = 1
+routes = ["catalogue", "orders"]
+
+[plans.wholesale]
+rate = "{big_rate}/s"
+burst = {big_burst}
+weight = 2
+routes = ["catalogue"]
+"""
+
+
+def build_usage() -> str:
+    """Return the list of what each plan may use."""
+    return _USAGE.format(
+        target_key_hash=hash_key(TARGET_KEY).hex(),
+        big_rate=BIG_RATE,
+        big_burst=BIG_BURST,
+    )
+
+
+__all__ = ('BIG_BURST', 'BIG_RATE', 'CUSTOMERS', 'build_usage')
