Allow a streamed body to be sent after a refused connection

Cause: the body counted as used before the connection was made, so a retry after a refused connection failed and was reported as sent. Change: it counts as used once an attempt reads from it; a second reader breaks off.

--- a/src/cranberryseam/serving/bodies.py
+++ b/src/cranberryseam/serving/bodies.py
@@ -43,7 +43,7 @@
     whole
         False if the rest must be read with ``feed``.
     taken
-        True once a streamed body has been handed to an attempt.
+        True once an attempt has begun to read a streamed body.
 
     """
 
@@ -90,9 +90,13 @@
         Raises
         ------
         BodyBrokenError
-            If the caller left, stalled or sent too much.
+            If the caller left, stalled or sent too much, or another
+            attempt has read a part.
 
         """
+        if self.taken:
+            raise BodyBrokenError
+        self.taken = True
         while True:
             while self._chunks:
                 chunk = self._chunks.popleft()
@@ -111,8 +115,7 @@
     """Adapter of a streamed body for the HTTP client."""
 
     def __init__(self, body: CallBody) -> None:
-        """Mark the body as used; it can't be sent a second time."""
-        body.taken = True
+        """Leave the body unread until the head was sent."""
         self._body = body
 
     def __aiter__(self) -> AsyncIterator[bytes]:
--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
+import attrs
 import testtools
 from parameterized import parameterized
 
@@ -254,9 +256,10 @@
     def test_connection_closed_while_idle(self) -> None:
         async def serve_two(reader, writer) -> None:
             connections.append(writer)
-            while request := await read_request(reader):
-                seen.append(request)
-                writer.write(OK)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while request := await read_request(reader):
+                    seen.append(request)
+                    writer.write(OK)
 
         async def scenario() -> list[bytes]:
             async with (
@@ -310,6 +313,28 @@
             (second.failure, second.sent), (AttemptFailure.not_sent, True)
         )
 
+    def test_second_attempt_of_an_unsent_body(self) -> None:
+        async def scenario() -> bytes:
+            async with run_target(answer_once(OK)) as reducer.port:
+                pass
+            async with (
+                run_target(answer_once(OK, seen)) as port,
+                run_stage(reducer) as stage,
+            ):
+                reducer.rules[AttemptFailed] = lambda event: [
+                    attrs.evolve(reducer.start(event.request_id, 2), port=port)
+                ]
+                return await stage.send_raw(raw % len(body) + body)
+
+        seen: list[bytes] = []
+        body = b'x' * 200_000
+        reducer = GrantingReducer()
+        raw = GET.replace(b'GET', b'POST')[:-2] + b'Content-Length: %d\r\n\r\n'
+        reply = asyncio.run(scenario())
+        self.assertTrue(reply.endswith(b'ok'), reply)
+        self.assertTrue(seen[0].endswith(body))
+        self.assertFalse(reducer.of(AttemptFailed)[0].sent)
+
     @parameterized.expand(
         [
             ('length', b'Content-Length: 200000\r\n\r\n', b'x' * 200_000),
