Bound the bodies held before their keys are checked

Cause: a body with an idempotency key is read whole, up to 8 MB, before the reducer sees the request, so connections without a key could use up the memory of a VM. Change: the bytes of all held bodies are counted; above 64 MiB a further body is refused with not_ready. A caller that leaves in a chunked body and keys in log lines have tests.

--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -11,8 +11,8 @@
 
 import asyncio
 import contextlib
-import gc
 import cProfile
+import gc
 import os
 import random
 import subprocess
--- a/src/cranberryseam/serving/bodies.py
+++ b/src/cranberryseam/serving/bodies.py
@@ -20,6 +20,9 @@
 # Bodies up to this size are read before the request is decided on, so that
 # they can be sent again; the same for the first part of larger ones.
 WHOLE_BODY_BYTES = 65_536
+# Bodies are read before the key is checked, so their sum needs a bound of its
+# own; an eighth of a VM with 512 MB.
+MOST_HELD_BYTES = 67_108_864
 # Bytes of a streamed body that may wait for a slow target.
 _WAITING_BYTES = 262_144
 _FINGERPRINT_BYTES = 16
@@ -34,12 +37,28 @@
     """The caller closed its connection while the body was read."""
 
 
+@attrs.define(eq=False)
+class BodyBudget:
+    """Bytes of all bodies that this process holds."""
+
+    most_bytes: int = MOST_HELD_BYTES
+    held: int = 0
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no further body may be held."""
+        return self.held > self.most_bytes
+
+
 @attrs.define(eq=False)
 class CallBody:
     """A body, or the part of it that has arrived.
 
     Parameters
     ----------
+    budget
+        Counts the bytes from their arrival until they are passed on, or
+        until ``release``.
     whole
         False if the rest must be read with ``feed``.
     taken
@@ -47,7 +66,8 @@
 
     """
 
-    whole: bool
+    budget: BodyBudget
+    whole: bool = False
     taken: bool = False
     broken: bool = False
     _size: int = 0
@@ -59,6 +79,7 @@
         """Append a part as it arrived from the caller."""
         self._size += len(chunk)
         self._waiting += len(chunk)
+        self.budget.held += len(chunk)
         if chunk:
             self._chunks.append(chunk)
         self._changed.set()
@@ -69,6 +90,12 @@
         self.whole = not broken
         self._changed.set()
 
+    def release(self) -> None:
+        """Forget what is held; the request has ended."""
+        self.budget.held -= self._waiting
+        self._waiting = 0
+        self._chunks.clear()
+
     def join(self) -> bytes:
         """Return all parts of a body that is whole and was not streamed."""
         return b''.join(self._chunks)
@@ -101,6 +128,7 @@
             while self._chunks:
                 chunk = self._chunks.popleft()
                 self._waiting -= len(chunk)
+                self.budget.held -= len(chunk)
                 self._changed.set()
                 yield chunk
             if self.broken:
@@ -124,10 +152,13 @@
 
 
 async def read_body(
-    receive: Receive, head: CallHead, limits: RequestSettings
+    receive: Receive,
+    head: CallHead,
+    limits: RequestSettings,
+    budget: BodyBudget,
 ) -> Result[CallBody, BadRequest | CallerGone]:
     """Read a body before the decision, whole unless it may be streamed."""
-    body = CallBody(whole=False)
+    body = CallBody(budget)
     if not head.chunked and not head.content_length:
         body.end(broken=False)
         return Ok(body)
@@ -137,16 +168,18 @@
     if _may_stream(head):
         return Ok(body)
     early_bytes = most_bytes if head.idempotency_key else WHOLE_BODY_BYTES
+    failure: BadRequest | CallerGone | None
     try:
         async with asyncio.timeout(limits.body_timeout_s):
-            arrived = await _read_parts(receive, body, early_bytes)
+            failure = await _read_parts(receive, body, early_bytes)
     except TimeoutError:
-        return Error(BadRequest(RefusalReason.body_timeout, 'body stalled'))
-    if not arrived:
-        return Error(CallerGone())
-    if body.size > most_bytes:
-        return Error(_too_large(most_bytes))
-    return Ok(body)
+        failure = BadRequest(RefusalReason.body_timeout, 'body stalled')
+    if failure is None and body.size > most_bytes:
+        failure = _too_large(most_bytes)
+    if failure is None:
+        return Ok(body)
+    body.release()
+    return Error(failure)
 
 
 async def feed_body(
@@ -198,16 +231,20 @@
 
 async def _read_parts(
     receive: Receive, body: CallBody, early_bytes: int
-) -> bool:
+) -> BadRequest | CallerGone | None:
     while body.size <= early_bytes:
+        if body.budget.exhausted:
+            return BadRequest(
+                RefusalReason.not_ready, 'too many bodies are held'
+            )
         message = await receive()
         if message['type'] == DISCONNECT:
-            return False
+            return CallerGone()
         body.add(message.get('body', b''))
         if not message.get('more_body', False):
             body.end(broken=False)
             break
-    return True
+    return None
 
 
 def _too_large(most_bytes: int) -> BadRequest:
@@ -217,7 +254,9 @@
 
 
 __all__ = (
+    'MOST_HELD_BYTES',
     'BodyBrokenError',
+    'BodyBudget',
     'CallBody',
     'CallerGone',
     'StreamedBody',
--- a/src/cranberryseam/serving/gateway.py
+++ b/src/cranberryseam/serving/gateway.py
@@ -45,6 +45,7 @@
 )
 from .attempts import Attempt, AttemptPorts
 from .bodies import (
+    BodyBudget,
     CallBody,
     CallerGone,
     feed_body,
@@ -96,6 +97,7 @@
         self._count = count
         self._via = b'1.1 %b' % settings.vm.name.encode()
         self._ready = False
+        self._budget = BodyBudget()
         self._ids = itertools.count(1)
         self._calls: dict[RequestId, Call] = {}
         self._upstream = Upstream(clock)
@@ -169,7 +171,7 @@
             unknown = BadRequest(RefusalReason.route_unknown, 'reserved path')
             await self._refuse_early(send, unknown)
             return
-        match await read_body(receive, head, self._limits):
+        match await read_body(receive, head, self._limits, self._budget):
             case Result(tag='ok', ok=body):
                 call = self._open_call(head, body, scope, send)
                 await self._serve_call(call, receive)
@@ -314,6 +316,7 @@
     def _forget_if_ended(self, call: Call) -> None:
         if call.outcome.done() and not call.attempts:
             self._calls.pop(call.request_id, None)
+            call.body.release()
 
 
 __all__ = ('READY_PATH', 'Gateway')
--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -359,7 +359,17 @@
         reply, _ = asyncio.run(run_once(reducer, count, head + framing + body))
         self.assertTrue(reply.endswith(b'ok'), reply)
 
-    def test_caller_leaves(self) -> None:
+    @parameterized.expand(
+        [
+            ('length', b'Content-Length: 100000\r\n\r\n'),
+            ('chunked', b'Transfer-Encoding: chunked\r\n\r\n186a0\r\n'),
+        ]
+    )
+    def test_caller_leaves(self, _name: str, framing: bytes) -> None:
+        async def keep(reader, writer) -> None:
+            arrived.put_nowait(await reader.read())
+            writer.close()
+
         async def scenario() -> bytes:
             async with (
                 run_target(keep) as reducer.port,
@@ -369,27 +379,18 @@
                     '127.0.0.1', stage.port
                 )
                 writer.write(
-                    b'POST /a HTTP/1.1\r\nHost: h\r\n'
-                    b'Content-Length: 100000\r\n\r\n' + b'x' * 70_000
+                    b'POST /a HTTP/1.1\r\nHost: h\r\n%b%b'
+                    % (framing, b'x' * 70_000)
                 )
                 await reducer.wait_for(RequestArrived)
                 writer.close()
                 await reducer.wait_for(AttemptFailed)
-                return await arrived
-
-        async def keep(reader, writer) -> None:
-            arrived.set_result(await reader.read())
-            writer.close()
-
-        async def prepare() -> bytes:
-            nonlocal arrived
-            arrived = asyncio.get_running_loop().create_future()
-            return await scenario()
+                return await arrived.get()
 
-        arrived: asyncio.Future[bytes]
+        arrived: asyncio.Queue[bytes] = asyncio.Queue()
         reducer = GrantingReducer()
-        request = asyncio.run(prepare())
-        self.assertIn(b'content-length: 100000', request)
+        request = asyncio.run(scenario())
         self.assertLess(request.count(b'x'), 100_000)
+        self.assertFalse(request.endswith(b'0\r\n\r\n'))
         self.assertEqual(len(reducer.of(CallerLeft)), 1)
         self.assertTrue(reducer.of(AttemptFailed)[0].sent)
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -8,6 +8,7 @@
 import testtools
 from parameterized import parameterized
 
+from cranberryseam.configuration.settings import RequestSettings
 from cranberryseam.core.effects import (
     CutRequest,
     ForwardAnswer,
@@ -21,6 +22,8 @@
 )
 from cranberryseam.core.refusals import Ran, Refusal, RefusalReason
 from cranberryseam.serving.arrivals import find_minute_of_day
+from cranberryseam.serving.bodies import BodyBudget, read_body
+from cranberryseam.serving.framing import check_head
 
 from .harness import (
     GET,
@@ -156,6 +159,35 @@
         self.assertIn(b'"ran":"no"', reply)
         self.assertEqual(reducer.events, [])
 
+    def test_bodies_beyond_the_budget(self) -> None:
+        async def read(size: int) -> tuple:
+            head = check_head(scope, limits).ok
+            message = {'body': b'x' * size, 'more_body': True}
+
+            async def receive() -> dict:
+                return {'type': 'http.request', **message}
+
+            refused = await read_body(receive, head, limits, budget)
+            return refused.error.reason, budget.held
+
+        scope = {
+            'method': 'POST',
+            'http_version': '1.1',
+            'raw_path': b'/a',
+            'query_string': b'',
+            'headers': [
+                (b'host', b'h'),
+                (b'transfer-encoding', b'chunked'),
+                (b'idempotency-key', b'k'),
+            ],
+        }
+        limits = RequestSettings(most_body_bytes=1000)
+        budget = BodyBudget(most_bytes=500)
+        self.assertEqual(asyncio.run(read(600)), (RefusalReason.not_ready, 0))
+        self.assertEqual(
+            asyncio.run(read(1001)), (RefusalReason.body_too_large, 0)
+        )
+
     def test_fingerprint_depends_on_body(self) -> None:
         async def scenario() -> None:
             async with run_stage(reducer) as stage:
--- a/tests/serving/test_gateway.py
+++ b/tests/serving/test_gateway.py
@@ -41,7 +41,9 @@
                     self.assertEqual(stage.gateway.in_flight, 0)
                     return reply
 
-        reply = asyncio.run(scenario())
+        with self.assertLogs(level='DEBUG') as logs:
+            reply = asyncio.run(scenario())
+        self.assertNotIn('secret', '\n'.join(logs.output))
         self.assertTrue(reply.startswith(b'HTTP/1.1 200'), reply)
         self.assertTrue(reply.endswith(b'\r\n\r\nok'), reply)
         request = seen[0]
