--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import attrs
 import testtools
@@ -104,6 +105,27 @@
             (AttemptFailure.not_connected, False),
         )
 
+    def test_target_that_accepts_no_connection(self) -> None:
+        async def scenario() -> bytes:
+            async with run_stage(reducer) as stage:
+                return await stage.send_raw(GET)
+
+        with contextlib.ExitStack() as sockets:
+            listener = sockets.enter_context(socket.socket())
+            listener.bind(('127.0.0.1', 0))
+            listener.listen(0)
+            for _ in range(4):
+                filler = sockets.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            reducer = GrantingReducer(listener.getsockname()[1], 0.1)
+            reply = asyncio.run(scenario())
+        self.assertIn(b'"ran":"no"', reply)
+        (failed,) = reducer.of(AttemptFailed)
+        self.assertEqual(
+            (failed.failure, failed.sent), (AttemptFailure.timed_out, False)
+        )
+
     def test_silent_target(self) -> None:
         async def stay_silent(reader, writer) -> None:
             await reader.read()
