--- a/tests/serving/test_attempts.py
+++ b/tests/serving/test_attempts.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
+import attrs
 import testtools
 from parameterized import parameterized
 
@@ -102,6 +105,27 @@
             (AttemptFailure.not_connected, False),
         )
 
+    def test_target_that_accepts_no_connection(self) -> None:
+        async def scenario() -> bytes:
+            async with run_stage(reducer) as stage:
+                return await stage.send_raw(GET)
+
+        with contextlib.ExitStack() as sockets:
+            listener = sockets.enter_context(socket.socket())
+            listener.bind(('127.0.0.1', 0))
+            listener.listen(0)
+            for _ in range(4):
+                filler = sockets.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            reducer = GrantingReducer(listener.getsockname()[1], 0.1)
+            reply = asyncio.run(scenario())
+        self.assertIn(b'"ran":"no"', reply)
+        (failed,) = reducer.of(AttemptFailed)
+        self.assertEqual(
+            (failed.failure, failed.sent), (AttemptFailure.timed_out, False)
+        )
+
     def test_silent_target(self) -> None:
         async def stay_silent(reader, writer) -> None:
             await reader.read()
@@ -254,9 +278,10 @@
     def test_connection_closed_while_idle(self) -> None:
         async def serve_two(reader, writer) -> None:
             connections.append(writer)
-            while request := await read_request(reader):
-                seen.append(request)
-                writer.write(OK)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while request := await read_request(reader):
+                    seen.append(request)
+                    writer.write(OK)
 
         async def scenario() -> list[bytes]:
             async with (
@@ -310,6 +335,28 @@
             (second.failure, second.sent), (AttemptFailure.not_sent, True)
         )
 
+    def test_second_attempt_of_an_unsent_body(self) -> None:
+        async def scenario() -> bytes:
+            async with run_target(answer_once(OK)) as reducer.port:
+                pass
+            async with (
+                run_target(answer_once(OK, seen)) as port,
+                run_stage(reducer) as stage,
+            ):
+                reducer.rules[AttemptFailed] = lambda event: [
+                    attrs.evolve(reducer.start(event.request_id, 2), port=port)
+                ]
+                return await stage.send_raw(raw % len(body) + body)
+
+        seen: list[bytes] = []
+        body = b'x' * 200_000
+        reducer = GrantingReducer()
+        raw = GET.replace(b'GET', b'POST')[:-2] + b'Content-Length: %d\r\n\r\n'
+        reply = asyncio.run(scenario())
+        self.assertTrue(reply.endswith(b'ok'), reply)
+        self.assertTrue(seen[0].endswith(body))
+        self.assertFalse(reducer.of(AttemptFailed)[0].sent)
+
     @parameterized.expand(
         [
             ('length', b'Content-Length: 200000\r\n\r\n', b'x' * 200_000),
@@ -334,7 +381,17 @@
         reply, _ = asyncio.run(run_once(reducer, count, head + framing + body))
         self.assertTrue(reply.endswith(b'ok'), reply)
 
-    def test_caller_leaves(self) -> None:
+    @parameterized.expand(
+        [
+            ('length', b'Content-Length: 100000\r\n\r\n'),
+            ('chunked', b'Transfer-Encoding: chunked\r\n\r\n186a0\r\n'),
+        ]
+    )
+    def test_caller_leaves(self, _name: str, framing: bytes) -> None:
+        async def keep(reader, writer) -> None:
+            arrived.put_nowait(await reader.read())
+            writer.close()
+
         async def scenario() -> bytes:
             async with (
                 run_target(keep) as reducer.port,
@@ -344,27 +401,18 @@
                     '127.0.0.1', stage.port
                 )
                 writer.write(
-                    b'POST /a HTTP/1.1\r\nHost: h\r\n'
-                    b'Content-Length: 100000\r\n\r\n' + b'x' * 70_000
+                    b'POST /a HTTP/1.1\r\nHost: h\r\n%b%b'
+                    % (framing, b'x' * 70_000)
                 )
                 await reducer.wait_for(RequestArrived)
                 writer.close()
                 await reducer.wait_for(AttemptFailed)
-                return await arrived
-
-        async def keep(reader, writer) -> None:
-            arrived.set_result(await reader.read())
-            writer.close()
-
-        async def prepare() -> bytes:
-            nonlocal arrived
-            arrived = asyncio.get_running_loop().create_future()
-            return await scenario()
+                return await arrived.get()
 
-        arrived: asyncio.Future[bytes]
+        arrived: asyncio.Queue[bytes] = asyncio.Queue()
         reducer = GrantingReducer()
-        request = asyncio.run(prepare())
-        self.assertIn(b'content-length: 100000', request)
+        request = asyncio.run(scenario())
         self.assertLess(request.count(b'x'), 100_000)
+        self.assertFalse(request.endswith(b'0\r\n\r\n'))
         self.assertEqual(len(reducer.of(CallerLeft)), 1)
         self.assertTrue(reducer.of(AttemptFailed)[0].sent)
