--- a/src/cranberryseam/daemon/servers.py
+++ b/src/cranberryseam/daemon/servers.py
@@ -17,9 +17,6 @@
 from ..serving.listener import open_socket, serve_app
 from .metrics import Metrics
 
-# Unused connections to targets are looked for this often.
-SWEEP_INTERVAL_S = 2.0
-
 
 @attrs.frozen
 class Servers:
@@ -33,17 +30,11 @@
 
     async def run(self, stopped: anyio.Event) -> None:
         """Serve until ``stopped`` is set and no request is in progress."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._sweep)
-            await self._serve_all(stopped)
-            tasks.cancel_scope.cancel()
-        await self.gateway.close()
-
-    async def _serve_all(self, stopped: anyio.Event) -> None:
         apps = self._apps()
         async with anyio.create_task_group() as servers:
             for name in self.listeners:
                 servers.start_soon(self._serve, name, apps[name], stopped)
+        await self.gateway.close()
 
     def _apps(self) -> Mapping[str, App]:
         return {
@@ -57,11 +48,6 @@
             app, self.listeners[name], self.settings.requests, stopped.wait
         )
 
-    async def _sweep(self) -> None:
-        while True:
-            await anyio.sleep(SWEEP_INTERVAL_S)
-            await self.gateway.sweep()
-
 
 def open_servers(
     settings: Settings,
--- a/src/cranberryseam/experiments/demo.py
+++ b/src/cranberryseam/experiments/demo.py
@@ -267,10 +267,10 @@
 
 def collect_counts(demo: Demo) -> None:
     """Ask the targets that live what they executed and which keys they saw."""
-    for position, name in enumerate(demo.targets):
+    for port, name in enumerate(demo.targets, FIRST_TARGET_PORT):
         if demo.targets[name].poll() is not None:
             continue
-        address = f'{LOOPBACK}:{FIRST_TARGET_PORT + position}'
+        address = f'{LOOPBACK}:{port}'
         counts = httpx.get(f'http://{address}/-/counts', trust_env=False).json()
         demo.executions.update(counts['executions'])
         demo.caller_keys_seen += len(counts['keys_seen'])
