Add the load tool

Cause: added latency must be measured open loop, from the intended time, and directly beside through the fleet in one run. Change: load/ sends the streams of a TOML plan with its own small client on h11, records HDR histograms per side and account, merges the reports of several processes and plots them; cranberryseam load run and load show. Conclusion: the profile of the request path can use it.

--- a/src/cranberryseam/cli/context.py
+++ b/src/cranberryseam/cli/context.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import os
-import sys
 import uuid
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final, TypeAlias
 
 from .client import AdminClient, ApiResult
-from .output import EXIT_INVALID, fail
+from .output import exit_invalid, fail
 
 Connect: TypeAlias = Callable[[], AdminClient]
 
@@ -26,11 +25,10 @@
     listed = addresses or os.environ.get(ADDRESSES_VARIABLE, '')
     path = key_file or os.environ.get(KEY_FILE_VARIABLE, '')
     if not listed or not path:
-        sys.stderr.write(
+        exit_invalid(
             f'set --addresses and --key-file, or {ADDRESSES_VARIABLE} and '
-            f'{KEY_FILE_VARIABLE}\n'
+            f'{KEY_FILE_VARIABLE}'
         )
-        sys.exit(EXIT_INVALID)
     key = read_text(path).strip()
     return AdminClient(tuple(listed.split(',')), key)
 
@@ -40,8 +38,7 @@
     try:
         return Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
-        sys.stderr.write(f'{path}: {error}\n')
-        sys.exit(EXIT_INVALID)
+        exit_invalid(f'{path}: {error}')
 
 
 def take(result: ApiResult) -> dict[str, Any]:
--- a/src/cranberryseam/cli/main.py
+++ b/src/cranberryseam/cli/main.py
@@ -11,6 +11,7 @@
 from .fleet import ControlCommands, FleetCommands, KeyCommands
 from .keys import hash_key
 from .lists import ListCommands, read_lists
+from .load import LoadCommands
 from .output import fail
 
 
@@ -64,6 +65,7 @@
         self.keys = KeyCommands(connect, json)
         self.fleet = FleetCommands(connect, json)
         self.control = ControlCommands(connect)
+        self.load = LoadCommands(json)
 
 
 def main() -> None:
--- a/src/cranberryseam/cli/output.py
+++ b/src/cranberryseam/cli/output.py
@@ -57,6 +57,12 @@
     sys.exit(find_exit_code(failure))
 
 
+def exit_invalid(message: str) -> NoReturn:
+    """Print a message on standard error and exit as for invalid input."""
+    sys.stderr.write(f'{message}\n')
+    sys.exit(EXIT_INVALID)
+
+
 def describe_failure(failure: Failure) -> str:
     """Return a failure as text for an operator."""
     if isinstance(failure, ApiUnreachable):
@@ -107,6 +113,7 @@
     'EXIT_UNKNOWN',
     'EXIT_UNREACHABLE',
     'describe_failure',
+    'exit_invalid',
     'fail',
     'find_exit_code',
     'print_json',
