Add leadership of replica groups

Cause: token buckets, idempotency records and ejections each need one owner per key that is never two VMs at a time, without disks or control VMs.

Change: groups of three VMs elect a leader by a lease from two of them. The leader counts 5 s from the sending of a renewal, a voter 5.5 s from its receipt; a started voter grants nothing for 5.5 s. A candidate first probes a voter and only asks for votes after an answer, so a VM that sends but doesn't hear never occupies a vote. Terms are at least the Unix time in milliseconds, so that they also increase after all three have restarted. VMs outside a group ask it for its leader and cache the answer.

Before: nothing.

Conclusion: ready for use by limits and idempotency.

--- /dev/null
+++ b/src/cranberryseam/ownership/groups.py
@@ -0,0 +1,68 @@
+"""Assignment of keys to the replica groups of a region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+if TYPE_CHECKING:
+    from ..configuration.settings import GroupSettings, Settings
+
+# About 120 bytes an entry; one lookup in a region of 90 groups costs 90
+# hashes without it.
+_MOST_CACHED = 8192
+
+
+class GroupIndex:
+    """All replica groups of the fleet, by name and by region."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Index the groups of the settings."""
+        self._groups = {group.name: group for group in settings.groups}
+        self._cache: dict[tuple[str, str], str] = {}
+        self._regions: dict[str, list[str]] = {}
+        for group in settings.groups:
+            self._regions.setdefault(group.region, []).append(group.name)
+
+    def find_group(self, name: str) -> GroupSettings | None:
+        """Return a group by name."""
+        return self._groups.get(name)
+
+    def list_groups_with(self, vm: str) -> tuple[GroupSettings, ...]:
+        """Return the groups that a VM is a member of."""
+        return tuple(
+            group for group in self._groups.values() if vm in group.vms
+        )
+
+    def group_of(self, region: str, shard_key: str) -> str:
+        """Return the name of the group of a key.
+
+        Rendezvous hashing: a changed list of groups moves only the keys of
+        the groups that were added or removed.
+
+        Returns
+        -------
+        The name, empty in a region without groups.
+
+        """
+        cached = self._cache.get((region, shard_key))
+        if cached is not None:
+            return cached
+        names = self._regions.get(region)
+        if not names:
+            return ''
+        chosen = max(
+            names,
+            key=lambda name: (
+                xxh3_64_intdigest(f'{name}\n{shard_key}'.encode()),
+                name,
+            ),
+        )
+        if len(self._cache) >= _MOST_CACHED:
+            self._cache.clear()
+        self._cache[region, shard_key] = chosen
+        return chosen
+
+
+__all__ = ('GroupIndex',)
--- /dev/null
+++ b/src/cranberryseam/ownership/member.py
@@ -0,0 +1,284 @@
+"""One member of a replica group: voter, candidate and leader."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..core.effects import IncrementCounter, SendMessage, SetTimer
+from ..types import VmId
+from .messages import (
+    LeaderProbed,
+    LeaseAsked,
+    LeaseGiven,
+    LeaseReleased,
+    ProbeAnswered,
+)
+from .voter import LEASE_MARGIN_S, LEASE_S, Voter
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from ..configuration.settings import GroupSettings
+    from ..core.messages import Message
+    from ..types import Output
+
+RENEWAL_S = 1.0
+# Between the attempts of members next to each other in the preferred order;
+# longer than two round trips inside a region.
+_STAGGER_S = 0.4
+_JITTER_S = 0.1
+_ATTEMPT_S = 0.6
+_MILLISECONDS = 1000
+_PROBE_BITS = 32
+PART = 'ownership'
+
+
+class Role(Enum):
+    """What a member does at present."""
+
+    follower = 'follower'
+    candidate = 'candidate'
+    leader = 'leader'
+
+
+@attrs.define
+class Reign:
+    """Candidacy or leadership of one term."""
+
+    term: int
+    asked_at: float
+    until: float = 0
+    since: float = 0
+
+
+class Member:
+    """State of this VM in one group.
+
+    Parameters
+    ----------
+    started_at, wall_s
+        The same instant on the reducer's clock and in Unix time. Terms are
+        at least the Unix time in milliseconds, so that they also increase
+        when all three members have restarted and forgot the last term.
+
+    """
+
+    def __init__(
+        self,
+        group: GroupSettings,
+        vm: VmId,
+        rng: random.Random,
+        started_at: float,
+        wall_s: float,
+    ) -> None:
+        """Start as a follower that abstains for one lease."""
+        self.group = group
+        self.role = Role.follower
+        self.reign = Reign(0, 0)
+        self.voter = Voter(started_at + LEASE_S + LEASE_MARGIN_S)
+        self.known = ''
+        self._vm = vm
+        self._rank = group.vms.index(vm)
+        self._others = tuple(VmId(name) for name in group.vms if name != vm)
+        self._rng = rng
+        self._wall_offset_s = wall_s - started_at
+        self._probe = 0
+        self._known_until = started_at
+        self._stopping = False
+
+    @property
+    def term(self) -> int:
+        """Term of the leader that this member knows, or the highest one."""
+        return max(self.voter.term, self.reign.term)
+
+    def leads(self, at: float) -> bool:
+        """Return whether this VM holds the group's lease."""
+        return self.role is Role.leader and at < self.reign.until
+
+    def refresh(self, at: float) -> list[Output]:
+        """Step down if the lease is over; forget a leader that is silent."""
+        outputs: list[Output] = []
+        if self.role is Role.leader and at >= self.reign.until:
+            outputs = [
+                IncrementCounter('ownership.lease_lost'),
+                *self._give_up(at),
+            ]
+        if self.role is Role.leader:
+            self.known = self._vm
+        elif self.voter.holder_at(at) not in {'', self._vm}:
+            self.known = self.voter.holder
+        elif at >= self._known_until:
+            self.known = ''
+        return outputs
+
+    def tick(self, at: float) -> list[Output]:
+        """Renew, try again or start a candidacy, whichever is due."""
+        match self.role:
+            case Role.leader:
+                return self._ask_for_votes(at)
+            case Role.candidate if at < self.reign.asked_at + _ATTEMPT_S:
+                return [self._set_timer(self.reign.asked_at + _ATTEMPT_S)]
+            case Role.candidate:
+                return self._give_up(at)
+        wait_s = self.voter.count_wait_s(self._vm, at)
+        if self._stopping:
+            return []
+        if wait_s or at < self._known_until:
+            return [self._wait_for_turn(max(at + wait_s, self._known_until))]
+        self._probe = self._rng.getrandbits(_PROBE_BITS)
+        return [
+            self._set_timer(at + _ATTEMPT_S + self._draw_jitter()),
+            *self._send(LeaderProbed(self.group.name, self._probe)),
+        ]
+
+    def stop(self, at: float) -> list[Output]:
+        """Hand leadership over; this member leads no more."""
+        self._stopping = True
+        return [] if self.role is Role.follower else self._give_up(at)
+
+    def receive(
+        self, sender: VmId, message: Message, at: float
+    ) -> list[Output]:
+        """Apply a message of another member."""
+        match message:
+            case LeaderProbed():
+                return [self._answer_probe(sender, message, at)]
+            case ProbeAnswered():
+                return self._take_probe_answer(message, at)
+            case LeaseAsked():
+                return self._vote(sender, message, at)
+            case LeaseGiven():
+                return self._take_vote(message, at)
+            case LeaseReleased():
+                return self._take_release(sender, message, at)
+        return []
+
+    def _answer_probe(
+        self, sender: VmId, message: LeaderProbed, at: float
+    ) -> Output:
+        wait_s = self.voter.count_wait_s(sender, at)
+        if self._yields_to(sender):
+            wait_s = 0
+        return SendMessage(
+            sender,
+            ProbeAnswered(
+                self.group.name,
+                message.probe,
+                self.term,
+                self.voter.holder_at(at),
+                wait_s,
+            ),
+        )
+
+    def _take_probe_answer(
+        self, message: ProbeAnswered, at: float
+    ) -> list[Output]:
+        if message.probe != self._probe or self.role is not Role.follower:
+            return []
+        self.voter.term = max(self.voter.term, message.term)
+        if message.wait_s > 0:
+            if message.leader:
+                self.known = message.leader
+                self._known_until = at + message.wait_s
+            return [self._wait_for_turn(at + message.wait_s)]
+        self._probe = 0
+        wall_ms = int((at + self._wall_offset_s) * _MILLISECONDS)
+        term = max(self.voter.term + 1, wall_ms)
+        if self._stopping or not self.voter.grant(self._vm, term, at):
+            return []
+        self.role = Role.candidate
+        self.reign = Reign(term, at)
+        return self._ask_for_votes(at)
+
+    def _ask_for_votes(self, at: float) -> list[Output]:
+        self.voter.grant(self._vm, self.reign.term, at)
+        due = at + _ATTEMPT_S
+        if self.role is Role.leader:
+            due = min(at + RENEWAL_S, self.reign.until)
+        return [
+            self._set_timer(due),
+            *self._send(LeaseAsked(self.group.name, self.reign.term, at)),
+        ]
+
+    def _vote(
+        self, sender: VmId, message: LeaseAsked, at: float
+    ) -> list[Output]:
+        outputs: list[Output] = []
+        if self._yields_to(sender) and message.term > self.reign.term:
+            outputs = self._give_up(at)
+        if not self.voter.grant(sender, message.term, at):
+            return outputs
+        self._known_until = 0
+        return [
+            *outputs,
+            SendMessage(
+                sender,
+                LeaseGiven(self.group.name, message.term, message.sent_at),
+            ),
+            self._wait_for_turn(self.voter.until),
+        ]
+
+    def _take_vote(self, message: LeaseGiven, at: float) -> list[Output]:
+        current = self.role is not Role.follower
+        if not current or message.term != self.reign.term:
+            return []
+        if message.sent_at > at:
+            return []
+        # Own vote and one other are the majority of three. The own vote was
+        # given at the sending as well, and lasts longer by the margin.
+        self.reign.until = max(self.reign.until, message.sent_at + LEASE_S)
+        if self.role is Role.leader or at >= self.reign.until:
+            return []
+        self.role = Role.leader
+        self.reign.since = at
+        due = min(self.reign.asked_at + RENEWAL_S, self.reign.until)
+        return [
+            IncrementCounter('ownership.lease_won'),
+            self._set_timer(due),
+        ]
+
+    def _take_release(
+        self, sender: VmId, message: LeaseReleased, at: float
+    ) -> list[Output]:
+        if not self.voter.release(sender, message.term):
+            return []
+        self._known_until = 0
+        self.known = ''
+        return [self._wait_for_turn(at)]
+
+    def _give_up(self, at: float) -> list[Output]:
+        """End the candidacy or leadership of this term for good."""
+        self.role = Role.follower
+        self.voter.release(self._vm, self.reign.term)
+        self.known = ''
+        released = LeaseReleased(self.group.name, self.reign.term)
+        # The others get a chance first: this member may be half cut off.
+        due = at + RENEWAL_S + self._draw_jitter()
+        return [*self._send(released), self._wait_for_turn(due)]
+
+    def _yields_to(self, other: str) -> bool:
+        """Return whether a candidacy is withdrawn for a preferred member."""
+        if self.role is not Role.candidate:
+            return False
+        return self.group.vms.index(other) < self._rank
+
+    def _wait_for_turn(self, at: float) -> Output:
+        return self._set_timer(
+            at + self._rank * _STAGGER_S + self._draw_jitter()
+        )
+
+    def _draw_jitter(self) -> float:
+        return self._rng.random() * _JITTER_S
+
+    def _set_timer(self, at: float) -> Output:
+        return SetTimer(PART, self.group.name, at)
+
+    def _send(self, message: Message) -> Sequence[Output]:
+        return [SendMessage(vm, message) for vm in self._others]
+
+
+__all__ = ('PART', 'RENEWAL_S', 'Member', 'Role')
--- /dev/null
+++ b/src/cranberryseam/ownership/part.py
@@ -0,0 +1,177 @@
+"""Ownership of keys by the leaders of replica groups."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.effects import SendMessage, SetTimer
+from ..core.events import (
+    Event,
+    MessageReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from ..core.notices import LeadershipChanged
+from ..types import VmId
+from .directory import LeaderDirectory
+from .groups import GroupIndex
+from .loopback import deliver_to_self
+from .member import PART, Member
+from .messages import LeaderAsked, LeaderTold
+
+if TYPE_CHECKING:
+    import random
+
+    from ..configuration.settings import Settings
+    from ..core.messages import Message
+    from ..core.notices import Notice
+    from ..types import Output
+
+
+class Ownership:
+    """Replica groups of three VMs and their leaders.
+
+    Parameters
+    ----------
+    rng
+        Source of the jitter and of probe numbers.
+
+    """
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        """Index the groups; members exist from ``Started`` on."""
+        self._vm = settings.vm_id
+        self._rng = rng
+        self._groups = GroupIndex(settings)
+        self._members: dict[str, Member] = {}
+        self._told: dict[str, str] = {}
+        self._directory = LeaderDirectory()
+
+    def handle(self, event: Event | Notice) -> list[Output]:
+        """Apply one event."""
+        if not isinstance(event, Event):
+            return []
+        outputs: list[Output] = []
+        for member in self._members.values():
+            outputs.extend(member.refresh(event.at))
+        outputs.extend(self._apply(event))
+        outputs.extend(self._report_changes(event.at))
+        return outputs
+
+    def group_of(self, region: str, shard_key: str) -> str:
+        """Return the group of a key, empty in a region without groups."""
+        return self._groups.group_of(region, shard_key)
+
+    def leader_of(self, region: str, shard_key: str) -> VmId | None:
+        """Return the last known leader of the group of a key."""
+        return self.leader_of_group(self.group_of(region, shard_key))
+
+    def leader_of_group(self, group: str) -> VmId | None:
+        """Return the last known leader of a group."""
+        member = self._members.get(group)
+        if member is None:
+            return self._directory.find_leader(group)
+        return VmId(member.known) if member.known else None
+
+    def is_leader(self, region: str, shard_key: str, at: float) -> bool:
+        """Return whether this VM holds the lease of the group of a key."""
+        return self.term_of(self.group_of(region, shard_key), at) is not None
+
+    def term_of(self, group: str, at: float) -> int | None:
+        """Return the term in which this VM leads, None if it doesn't."""
+        member = self._members.get(group)
+        if member is None or not member.leads(at):
+            return None
+        return member.reign.term
+
+    def leads_since(self, group: str) -> float:
+        """Return when this VM won the lease it holds."""
+        return self._members[group].reign.since
+
+    def members_of(self, group: str) -> tuple[VmId, ...]:
+        """Return the three members of a group in their preferred order."""
+        found = self._groups.find_group(group)
+        return tuple(VmId(vm) for vm in found.vms) if found else ()
+
+    def list_own_groups(self) -> tuple[str, ...]:
+        """Return the groups that this VM is a member of."""
+        return tuple(
+            group.name for group in self._groups.list_groups_with(self._vm)
+        )
+
+    def ask_leader(self, group: str, at: float) -> list[Output]:
+        """Ask a group for its leader, after its last one was silent.
+
+        Parts call this when they need an owner that is unknown or doesn't
+        answer; a changed leader arrives as ``LeadershipChanged``.
+        """
+        found = self._groups.find_group(group)
+        if found is None or group in self._members:
+            return []
+        return self._directory.ask(found, at)
+
+    def tell_leader(self, group: str, to: VmId) -> list[Output]:
+        """Tell a VM who leads, after it took this one for the leader."""
+        member = self._members.get(group)
+        if member is None or to == self._vm:
+            return []
+        told = LeaderTold(group, member.term, member.known)
+        return [SendMessage(to, told)]
+
+    def _apply(self, event: Event) -> list[Output]:
+        match event:
+            case Started():
+                return self._start(event)
+            case TimerFired(part=part, name=name) if part == PART:
+                member = self._members.get(name)
+                return member.tick(event.at) if member else []
+            case MessageReceived(sender=sender, message=message):
+                return self._receive(sender, message, event.at)
+            case StopRequested():
+                return [
+                    output
+                    for member in self._members.values()
+                    for output in member.stop(event.at)
+                ]
+        return []
+
+    def _start(self, event: Started) -> list[Output]:
+        timers: list[Output] = []
+        for group in self._groups.list_groups_with(self._vm):
+            self._members[group.name] = Member(
+                group, self._vm, self._rng, event.at, event.wall_s
+            )
+            timers.append(SetTimer(PART, group.name, event.at))
+        return timers
+
+    def _receive(
+        self, sender: VmId, message: Message, at: float
+    ) -> list[Output]:
+        match message:
+            case LeaderTold(group=group):
+                if group in self._members or not self._directory.learn(message):
+                    return []
+                return [LeadershipChanged(at, group, VmId(message.leader))]
+            case LeaderAsked(group=group):
+                return self.tell_leader(group, sender)
+        group_name = getattr(message, 'group', '')
+        member = self._members.get(group_name)
+        if member is None or sender not in member.group.vms:
+            return []
+        return deliver_to_self(
+            self._vm, member.receive(sender, message, at), lambda _: ()
+        )
+
+    def _report_changes(self, at: float) -> list[Output]:
+        notices: list[Output] = []
+        for name, member in self._members.items():
+            member.refresh(at)
+            if self._told.get(name, '') != member.known:
+                self._told[name] = member.known
+                leader = VmId(member.known) if member.known else None
+                notices.append(LeadershipChanged(at, name, leader))
+        return notices
+
+
+__all__ = ('Ownership',)
--- /dev/null
+++ b/tests/ownership/test_part.py
@@ -0,0 +1,238 @@
+"""Tests of group leadership on virtual VMs."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import testtools
+from parameterized import parameterized
+
+from cranberryseam.core import events
+from cranberryseam.core.notices import LeadershipChanged
+from cranberryseam.ownership import member
+from cranberryseam.ownership.messages import LeaseGiven
+from cranberryseam.ownership.voter import LEASE_MARGIN_S, LEASE_S, Voter
+from cranberryseam.types import Output
+
+from .fleet import LED_S, Fleet, Network
+
+_GROUP = 'a-g'
+
+
+def _run_with_check(fleet: Fleet, until: float) -> int:
+    """Advance in small steps; return the largest number of leaders seen."""
+    most = 0
+    while fleet.now < until:
+        fleet.run_until(fleet.now + 0.05)
+        most = max(most, len(fleet.leaders(_GROUP)))
+    return most
+
+
+def _disturb(fleet: Fleet) -> None:
+    """Start one random fault; heal or repeat later."""
+    if not fleet.disturbed:
+        return
+    vm = fleet.rng.choice(list(fleet.vms))
+    other = fleet.rng.choice(list(fleet.vms))
+    match fleet.rng.randrange(6):
+        case 0:
+            fleet.restart(vm, fleet.rng.random() * 0.5)
+        case 1:
+            fleet.freeze(vm, fleet.rng.random() * 8)
+        case 2:
+            fleet.isolate(vm, hears=False, heard=True)
+        case 3:
+            fleet.cut(vm, other)
+        case 4:
+            fleet.handle(vm, events.StopRequested)
+        case _:
+            fleet.heal()
+    fleet.schedule(fleet.now + fleet.rng.random() * 3, lambda: _disturb(fleet))
+
+
+class LeadershipTest(testtools.TestCase):
+    """Guards against two leaders, no leader, and flapping leaders."""
+
+    def test_fresh_group(self) -> None:
+        """All voters abstain after a start, then the first one leads."""
+        fleet = Fleet(1, {'a': 3})
+        fleet.run_until(5.4)
+        self.assertEqual(fleet.leaders(_GROUP), [])
+        fleet.run_until(LED_S)
+        self.assertEqual(fleet.leaders(_GROUP), ['a0'])
+
+    def test_healthy_group_keeps_leader(self) -> None:
+        """A preferred member that returns doesn't take over."""
+        fleet = Fleet(2, {'a': 3})
+        fleet.run_until(LED_S)
+        fleet.restart('a0')
+        fleet.run_until(40)
+        leader = fleet.leaders(_GROUP)
+        self.assertNotEqual(leader, ['a0'])
+        fleet.run_until(200)
+        self.assertEqual(fleet.leaders(_GROUP), leader)
+
+    @parameterized.expand(
+        [('deaf', False, True), ('mute', True, False), ('both', False, False)]
+    )
+    def test_cut_leader(self, _name: str, hears: bool, heard: bool) -> None:
+        """A leader that is cut off, even one way, is replaced."""
+        fleet = Fleet(3, {'a': 3})
+        fleet.run_until(LED_S)
+        fleet.isolate('a0', hears=hears, heard=heard)
+        self.assertLessEqual(_run_with_check(fleet, LED_S + 12), 1)
+        self.assertIn(fleet.leaders(_GROUP), (['a1'], ['a2']))
+
+    def test_deaf_follower_takes_no_vote(self) -> None:
+        """A member that can't hear must not occupy votes for ever."""
+        fleet = Fleet(4, {'a': 3})
+        fleet.run_until(LED_S)
+        fleet.isolate('a1', hears=False, heard=True)
+        fleet.restart('a0', 60)
+        fleet.restart('a2')
+        fleet.run_until(50)
+        self.assertEqual(fleet.leaders(_GROUP), [])
+        fleet.heal()
+        fleet.run_until(60)
+        self.assertEqual(len(fleet.leaders(_GROUP)), 1)
+
+    def test_frozen_leader(self) -> None:
+        """The frozen time counts, also in the query right after the thaw."""
+        fleet = Fleet(5, {'a': 3})
+        fleet.run_until(LED_S)
+        vm = fleet.vms['a0']
+        thaw_at = vm.at(fleet.now + 6)
+        self.assertFalse(vm.parts[0].is_leader('a', 'account', thaw_at))
+        fleet.freeze('a0', 20)
+        self.assertLessEqual(_run_with_check(fleet, LED_S + 30), 1)
+        self.assertNotEqual(fleet.leaders(_GROUP), ['a0'])
+
+    def test_slow_votes(self) -> None:
+        """The leader counts from the sending, so late votes add nothing."""
+        self.assertEqual(_run_slow_votes(), 1)
+
+    def test_handover(self) -> None:
+        """A planned stop leaves the group without leader for a moment."""
+        fleet = Fleet(6, {'a': 3})
+        fleet.run_until(LED_S)
+        fleet.handle('a0', events.StopRequested)
+        fleet.run_until(LED_S + 1)
+        self.assertEqual(fleet.leaders(_GROUP), ['a1'])
+
+    def test_terms_increase(self) -> None:
+        """Terms increase although all members have restarted."""
+        fleet = Fleet(7, {'a': 3})
+        terms = []
+        for number in range(4):
+            fleet.run_until(LED_S * 2 * (number + 1))
+            leader = fleet.vms[fleet.leaders(_GROUP)[0]]
+            at = leader.at(fleet.now)
+            terms.append(leader.parts[0].term_of(_GROUP, at))
+            for name in fleet.vms:
+                fleet.restart(name)
+        self.assertEqual(terms, sorted(set(terms)))
+
+    def test_outsider_learns_leader(self) -> None:
+        """A VM outside the group asks it, and again after a change."""
+        fleet = Fleet(8, {'a': 3, 'b': 3})
+        fleet.run_until(LED_S)
+        outsider = fleet.vms['b0'].parts[0]
+        self.assertIsNone(outsider.leader_of('a', 'account'))
+        for expected in ('a0', 'a1'):
+            fleet.call(
+                'b0', lambda vm: outsider.ask_leader(_GROUP, vm.at(fleet.now))
+            )
+            fleet.run_until(fleet.now + 1)
+            self.assertEqual(outsider.leader_of('a', 'account'), expected)
+            fleet.handle('a0', events.StopRequested)
+            fleet.run_until(fleet.now + 2)
+        changes = [
+            notice.leader
+            for _, vm, notice in fleet.notices
+            if vm == 'b0'
+            and isinstance(notice, LeadershipChanged)
+            and notice.group == _GROUP
+        ]
+        self.assertEqual(changes, ['a0', 'a1'])
+
+    def test_region_without_groups(self) -> None:
+        """No group means no owner, not an exception."""
+        fleet = Fleet(9, {'a': 3})
+        ownership = fleet.vms['a0'].parts[0]
+        self.assertEqual(ownership.group_of('x', 'account'), '')
+        self.assertIsNone(ownership.leader_of('x', 'account'))
+        self.assertFalse(ownership.is_leader('x', 'account', 0))
+
+    @parameterized.expand([(seed,) for seed in range(60)])
+    def test_disturbed_group(self, seed: int) -> None:
+        """Never two leaders at once; one again soon after the faults."""
+        fleet = _make_disturbed(seed)
+        self.assertLessEqual(_run_with_check(fleet, 60), 1)
+        fleet.disturbed = False
+        fleet.network = Network()
+        for name in fleet.vms:
+            fleet.restart(name)
+        fleet.run_until(60 + LED_S + 9)
+        self.assertEqual(len(fleet.leaders(_GROUP)), 1)
+
+
+class FaultTest(testtools.TestCase):
+    """Shows that the tests above find known faults."""
+
+    @parameterized.expand(
+        [
+            ('no_abstention', 0.0),
+            ('short_abstention', 1.0),
+        ]
+    )
+    def test_restarted_voter(self, _name: str, s: float) -> None:
+        """A voter that doesn't abstain after a restart elects a second."""
+
+        def make_voter(free_from: float) -> Voter:
+            return Voter(free_from - LEASE_S - LEASE_MARGIN_S + s)
+
+        with mock.patch.object(member, 'Voter', make_voter):
+            self.assertTrue(_find_double_leaders(200))
+
+    def test_lease_counted_from_receipt(self) -> None:
+        """A leader that counts from the answer outlives its votes."""
+
+        def take_vote(
+            voted: member.Member, message: LeaseGiven, at: float
+        ) -> list[Output]:
+            late = LeaseGiven(message.group, message.term, at)
+            return counted(voted, late, at)
+
+        counted = member.Member._take_vote
+        with mock.patch.object(member.Member, '_take_vote', take_vote):
+            self.assertEqual(_run_slow_votes(), 2)
+
+
+def _run_slow_votes() -> int:
+    """Return the most leaders while votes arrive 4 s late at the leader."""
+    fleet = Fleet(10, {'a': 3})
+    fleet.run_until(LED_S)
+    for voter in ('a1', 'a2'):
+        fleet.network.slow_s[voter, 'a0'] = 4
+    fleet.run_until(LED_S + 10)
+    fleet.isolate('a0', hears=True, heard=False)
+    return _run_with_check(fleet, LED_S + 25)
+
+
+def _make_disturbed(seed: int) -> Fleet:
+    fleet = Fleet(seed, {'a': 3}, drift=0.01)
+    fleet.network.loss = 0.1
+    fleet.network.duplication = 0.1
+    fleet.network.long_delay = 0.1
+    if seed % 2:
+        fleet.network.long_delay = 0.4
+        fleet.network.most_delay_s = 8
+    fleet.schedule(LED_S, lambda: _disturb(fleet))
+    return fleet
+
+
+def _find_double_leaders(seeds: int) -> bool:
+    """Return whether any seed ever has two leaders; stops at the first."""
+    return any(
+        _run_with_check(_make_disturbed(seed), 60) > 1 for seed in range(seeds)
+    )
