Stop message storms between VMs that know different leaders

Cause: a member told outsiders the leader it knew together with the highest term it had heard of. Two members could name different leaders for the same term; each answer changed the outsider's cache, each change repeated the waiting requests, and each of those was answered again. A term heard in a probe also made a voter refuse the renewals of the leader in office.

Change: a vote keeps the term of its grant, and the leader is told with that term. An outsider takes a leader only with a later term. The test network fails after 100,000 messages in one schedule.

Conclusion: a changed leader is only followed forwards.

--- a/src/cranberryseam/ownership/directory.py
+++ b/src/cranberryseam/ownership/directory.py
@@ -52,10 +52,12 @@
     def learn(self, told: LeaderTold) -> bool:
         """Take an answer; return whether the leader changed.
 
-        A member that knows nobody doesn't contradict one that does.
+        A member that knows nobody doesn't contradict one that does. Only a
+        later term counts: each change makes parts repeat their messages, and
+        members with different knowledge would answer those in turn.
         """
         known = self._known.setdefault(told.group, KnownLeader())
-        if not told.leader or told.term < known.term:
+        if not told.leader or told.term <= known.term:
             return False
         known.term = told.term
         changed = known.leader != told.leader
--- a/src/cranberryseam/ownership/groups.py
+++ b/src/cranberryseam/ownership/groups.py
@@ -21,9 +21,11 @@
         """Index the groups of the settings."""
         self._groups = {group.name: group for group in settings.groups}
         self._cache: dict[tuple[str, str], str] = {}
-        self._regions: dict[str, list[str]] = {}
+        self._regions: dict[str, list[tuple[int, str]]] = {}
         for group in settings.groups:
-            self._regions.setdefault(group.region, []).append(group.name)
+            seed = xxh3_64_intdigest(group.name.encode())
+            named = self._regions.setdefault(group.region, [])
+            named.append((seed, group.name))
 
     def find_group(self, name: str) -> GroupSettings | None:
         """Return a group by name."""
@@ -49,15 +51,12 @@
         cached = self._cache.get((region, shard_key))
         if cached is not None:
             return cached
-        names = self._regions.get(region)
-        if not names:
+        groups = self._regions.get(region)
+        if not groups:
             return ''
-        chosen = max(
-            names,
-            key=lambda name: (
-                xxh3_64_intdigest(f'{name}\n{shard_key}'.encode()),
-                name,
-            ),
+        encoded = shard_key.encode()
+        _, chosen = max(
+            (xxh3_64_intdigest(encoded, seed), name) for seed, name in groups
         )
         if len(self._cache) >= _MOST_CACHED:
             self._cache.clear()
--- a/src/cranberryseam/ownership/member.py
+++ b/src/cranberryseam/ownership/member.py
@@ -81,6 +81,7 @@
         self.reign = Reign(0, 0)
         self.voter = Voter(started_at + LEASE_S + LEASE_MARGIN_S)
         self.known = ''
+        self.known_term = 0
         self._vm = vm
         self._rank = group.vms.index(vm)
         self._others = tuple(VmId(name) for name in group.vms if name != vm)
@@ -90,11 +91,6 @@
         self._known_until = started_at
         self._stopping = False
 
-    @property
-    def term(self) -> int:
-        """Term of the leader that this member knows, or the highest one."""
-        return max(self.voter.term, self.reign.term)
-
     def leads(self, at: float) -> bool:
         """Return whether this VM holds the group's lease."""
         return self.role is Role.leader and at < self.reign.until
@@ -109,8 +105,10 @@
             ]
         if self.role is Role.leader:
             self.known = self._vm
+            self.known_term = self.reign.term
         elif self.voter.holder_at(at) not in {'', self._vm}:
             self.known = self.voter.holder
+            self.known_term = self.voter.granted
         elif at >= self._known_until:
             self.known = ''
         return outputs
@@ -168,8 +166,9 @@
             ProbeAnswered(
                 self.group.name,
                 message.probe,
-                self.term,
+                max(self.voter.term, self.reign.term),
                 self.voter.holder_at(at),
+                self.voter.granted,
                 wait_s,
             ),
         )
@@ -183,6 +182,7 @@
         if message.wait_s > 0:
             if message.leader:
                 self.known = message.leader
+                self.known_term = message.leader_term
                 self._known_until = at + message.wait_s
             return [self._wait_for_turn(at + message.wait_s)]
         self._probe = 0
--- a/src/cranberryseam/ownership/messages.py
+++ b/src/cranberryseam/ownership/messages.py
@@ -25,8 +25,8 @@
     ----------
     term
         Highest term the voter knows.
-    leader
-        VM that holds the vote, empty if none.
+    leader, leader_term
+        VM that holds the vote, empty if none, and the term of its grant.
     wait_s
         Seconds until the vote is free; 0 if it is.
 
@@ -36,6 +36,7 @@
     probe: int
     term: int
     leader: str
+    leader_term: int
     wait_s: float
 
 
@@ -76,7 +77,15 @@
 
 
 class LeaderTold(Message, frozen=True, array_like=True, tag=_TAG + 7):
-    """Tell who leads a group; an empty name means nobody known."""
+    """Tell who leads a group; an empty name means nobody known.
+
+    Parameters
+    ----------
+    term
+        Term in which this VM leads. Two answers with one term name the same
+        leader, so a receiver that only takes later terms never alternates.
+
+    """
 
     group: str
     term: int
--- a/src/cranberryseam/ownership/part.py
+++ b/src/cranberryseam/ownership/part.py
@@ -116,7 +116,7 @@
         member = self._members.get(group)
         if member is None or to == self._vm:
             return []
-        told = LeaderTold(group, member.term, member.known)
+        told = LeaderTold(group, member.known_term, member.known)
         return [SendMessage(to, told)]
 
     def _apply(self, event: Event) -> list[Output]:
--- a/src/cranberryseam/ownership/voter.py
+++ b/src/cranberryseam/ownership/voter.py
@@ -21,6 +21,8 @@
         have been granted, and the process can't know that it wasn't.
     term
         Highest term that was granted or heard of.
+    granted
+        Term in which ``holder`` got the vote.
     closed_term
         Highest term that its leader released; late renewals of it are
         refused.
@@ -29,6 +31,7 @@
 
     free_from: float
     term: int = 0
+    granted: int = 0
     closed_term: int = 0
     holder: str = ''
     until: float = 0
@@ -46,19 +49,20 @@
 
     def grant(self, candidate: str, term: int, at: float) -> bool:
         """Grant or renew the vote if that is safe."""
-        renewed = candidate == self.holder and term == self.term
+        renewed = candidate == self.holder and term == self.granted
         if self.count_wait_s(candidate, at) or term <= self.closed_term:
             return False
         if term <= self.term and not renewed:
             return False
-        self.term = term
+        self.term = max(self.term, term)
+        self.granted = term
         self.holder = candidate
         self.until = at + LEASE_S + LEASE_MARGIN_S
         return True
 
     def release(self, holder: str, term: int) -> bool:
         """Take the vote back from a holder that gave it up."""
-        if holder != self.holder or term != self.term:
+        if holder != self.holder or term != self.granted:
             return False
         self.closed_term = term
         self.until = 0
--- a/tests/ownership/fleet.py
+++ b/tests/ownership/fleet.py
@@ -26,6 +26,9 @@
 WALL_S = 1_700_000_000.0
 # Time until a fresh fleet has leaders, and until their buckets are open.
 LED_S = 7.0
+# The schedules send fewer than 20,000; VMs that answer each other without end
+# would otherwise only show as a test that never stops.
+MOST_MESSAGES = 100_000
 OPEN_S = 10.0
 
 
@@ -282,6 +285,8 @@
 
     def _send(self, sender: str, output: SendMessage) -> None:
         self.sent.append(output)
+        if len(self.sent) > MOST_MESSAGES:
+            raise AssertionError('message storm')
         network = self.network
         copies = 1 + (self.rng.random() < network.duplication)
         for _ in range(copies):
--- a/tests/ownership/test_part.py
+++ b/tests/ownership/test_part.py
@@ -10,7 +10,8 @@
 from cranberryseam.core import events
 from cranberryseam.core.notices import LeadershipChanged
 from cranberryseam.ownership import member
-from cranberryseam.ownership.messages import LeaseGiven
+from cranberryseam.ownership.directory import LeaderDirectory
+from cranberryseam.ownership.messages import LeaderTold, LeaseGiven
 from cranberryseam.ownership.voter import LEASE_MARGIN_S, LEASE_S, Voter
 from cranberryseam.types import Output
 
@@ -155,6 +156,36 @@
         ]
         self.assertEqual(changes, ['a0', 'a1'])
 
+    def test_members_disagree(self) -> None:
+        """Answers with an old leader mustn't make an outsider alternate.
+
+        Each change repeats the waiting messages, and each of those is
+        answered again: this was an endless storm of messages.
+        """
+        directory = LeaderDirectory()
+        told = [
+            directory.learn(LeaderTold(_GROUP, term, leader))
+            for term, leader in (
+                (5, 'a0'),
+                (7, 'a1'),
+                (5, 'a0'),
+                (7, 'a1'),
+                (7, ''),
+                (8, 'a1'),
+                (9, 'a2'),
+            )
+        ]
+        expected = [True, True, False, False, False, False, True]
+        self.assertEqual(told, expected)
+
+    def test_higher_term_heard(self) -> None:
+        """A term from a probe mustn't end the leader's renewals."""
+        voter = Voter(0)
+        self.assertTrue(voter.grant('a0', 5, 1))
+        voter.term = 9
+        self.assertTrue(voter.grant('a0', 5, 2))
+        self.assertFalse(voter.grant('a1', 8, 20))
+
     def test_region_without_groups(self) -> None:
         """No group means no owner, not an exception."""
         fleet = Fleet(9, {'a': 3})
