Add token buckets at group leaders and token leases at entry VMs

Change: one bucket per account and region share at the group leader. Level plus outstanding tokens never exceed the burst, a lease counts as outstanding until it is reported or expired, and the entry VM counts from the sending of its ask. Accounts with 4 or more requests/s at a VM get blocks of half a second of recent use for 2 s; others get single tokens for 250 ms, which need no report. A new leader opens empty buckets 2.1 s after its election. Changed plans keep the level and are applied in slices of 200 accounts. A request waits at most 250 ms, at most 1,000 of them per VM.

--- /dev/null
+++ b/src/cranberryseam/limits/entry.py
@@ -0,0 +1,323 @@
+"""Entry VM's side: gets tokens for requests from the owners."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..core.effects import SendMessage, SetTimer
+from ..core.notices import TokenDenied, TokenGranted
+from ..core.refusals import RefusalReason
+from ..types import AccountId, RequestId, VmId
+from .bucket import BLOCK_LEASE_S, SINGLE_LEASE_S
+from .cache import Ask, CachedAccount, Lease
+from .messages import LeaseReport, TokensAsked, TokensGiven, TokensReported
+from .owner import Verdict
+from .shares import choose_region
+
+if TYPE_CHECKING:
+    from ..configuration.model import Configuration
+    from ..configuration.settings import Settings
+    from ..ownership import Ownership
+    from ..types import Output
+
+PART = 'limits'
+WAIT_TIMER = 'wait'
+LEASE_TIMER = 'leases'
+MOST_WAIT_S = 0.25
+# Longer than a round trip to another region (60 ms).
+_RESEND_S = 0.1
+_LEASE_CHECK_S = 0.25
+_WAIT_CHECK_S = 0.05
+_MOST_WAITING = 1000
+_MOST_CACHED = 4096
+# A denial is remembered at most this long, as another VM may return tokens.
+_MOST_DENIED_S = 0.1
+_RETRY_S = 0.5
+
+
+@attrs.frozen
+class Waiting:
+    """A request that waits for a token."""
+
+    account: str
+    group: str
+    until: float
+
+
+class TokenClient:
+    """Tokens of this VM: cached leases, asks and waiting requests."""
+
+    def __init__(self, settings: Settings, ownership: Ownership) -> None:
+        """Start without tokens."""
+        self.run = 0
+        self.configuration: Configuration | None = None
+        self._region = settings.vm.region
+        self._regions = settings.region_names
+        self._ownership = ownership
+        self._number = 0
+        self._accounts: dict[str, CachedAccount] = {}
+        self._waiting: dict[RequestId, Waiting] = {}
+        self._asks: dict[int, Ask] = {}
+        self._reports: dict[str, list[LeaseReport]] = {}
+        self._checks_leases = False
+        self._checks_waiting = False
+        self._stopping = False
+
+    def acquire(
+        self, request_id: RequestId, account: AccountId, at: float
+    ) -> list[Output]:
+        """Grant a token, deny it, or let the request wait for an answer."""
+        known = self.configuration and self.configuration.accounts.get(account)
+        if self.configuration is None or not known:
+            return [_deny(request_id, RefusalReason.account_unknown, at)]
+        region = choose_region(
+            self.configuration, known, self._region, self._regions
+        )
+        group = self._ownership.group_of(region, account)
+        if not group or len(self._waiting) >= _MOST_WAITING:
+            return [_deny_unreachable(request_id, at)]
+        self._make_room(at)
+        cached = self._accounts.setdefault(account, CachedAccount())
+        cached.count_use(at)
+        if cached.use_token(at):
+            return [
+                TokenGranted(at, request_id),
+                *self._ask(account, cached, group, at),
+                *self._set_lease_timer(at),
+            ]
+        if at < cached.denied_until:
+            wait_s = cached.denied_until - at
+            reason = RefusalReason.rate_exceeded
+            return [_deny(request_id, reason, at, wait_s)]
+        cached.waiting.append(request_id)
+        self._waiting[request_id] = Waiting(account, group, at + MOST_WAIT_S)
+        return [
+            *self._ask(account, cached, group, at),
+            *self._set_wait_timer(at),
+            *self._set_lease_timer(at),
+        ]
+
+    def cancel(self, request_id: RequestId) -> None:
+        """Forget a request that waits; a token granted before is used."""
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            self._accounts[waiting.account].waiting.remove(request_id)
+
+    def take_tokens(self, given: TokensGiven, at: float) -> list[Output]:
+        """Serve waiting requests with the tokens of an answer."""
+        ask = self._asks.get(given.number)
+        if ask is None or given.run != self.run:
+            return []
+        cached = self._forget_ask(ask)
+        if at < ask.until and given.count:
+            lease = Lease(
+                ask.number, given.count, ask.until, is_block=ask.ahead > 0
+            )
+            cached.leases.append(lease)
+        outputs = self._serve_waiting(cached, at)
+        if given.count < ask.needed:
+            outputs.extend(self._deny_uncovered(cached, given, at))
+        elif given.count:
+            cached.denied_until = 0
+        if cached.leases:
+            self._close_leases(ask.account, ask.group, at)
+        return outputs
+
+    def follow_leader(self, group: str, at: float) -> list[Output]:
+        """Ask a new leader for what is still missing."""
+        outputs: list[Output] = []
+        for ask in self._asks.values():
+            if ask.group == group:
+                outputs.extend(self._send_ask(ask))
+        accounts = {
+            waiting.account
+            for waiting in self._waiting.values()
+            if waiting.group == group
+        }
+        for account in sorted(accounts):
+            cached = self._accounts[account]
+            outputs.extend(self._ask(account, cached, group, at))
+        return outputs
+
+    def check_waiting(self, at: float) -> list[Output]:
+        """Repeat asks without answer and end the waiting of requests."""
+        outputs: list[Output] = []
+        self._checks_waiting = False
+        for ask in tuple(self._asks.values()):
+            if at >= ask.sent_at + MOST_WAIT_S:
+                self._forget_ask(ask)
+            elif not ask.resent and at >= ask.sent_at + _RESEND_S:
+                ask.resent = True
+                outputs.extend(self._send_ask(ask))
+                outputs.extend(self._ownership.ask_leader(ask.group, at))
+        for request_id, waiting in tuple(self._waiting.items()):
+            # The next check would be too late.
+            if at + _WAIT_CHECK_S <= waiting.until:
+                break
+            self.cancel(request_id)
+            outputs.append(_deny_unreachable(request_id, at))
+        return [*outputs, *self._set_wait_timer(at)]
+
+    def check_leases(self, at: float) -> list[Output]:
+        """Return unused tokens and forget accounts that aren't in use."""
+        self._checks_leases = False
+        for account, cached in tuple(self._accounts.items()):
+            if cached.leases:
+                self._close_leases(account, self._group_of(account), at)
+            if cached.disposable(at):
+                self._accounts.pop(account)
+        return [*self._send_reports(), *self._set_lease_timer(at)]
+
+    def return_all(self) -> list[Output]:
+        """Return all unused tokens before the process stops."""
+        self._stopping = True
+        for account, cached in self._accounts.items():
+            for lease in cached.leases:
+                self._report(account, self._group_of(account), lease)
+            cached.leases.clear()
+        return self._send_reports()
+
+    def count_cached(self) -> int:
+        """Return the number of accounts in memory."""
+        return len(self._accounts)
+
+    def _ask(
+        self, account: str, cached: CachedAccount, group: str, at: float
+    ) -> list[Output]:
+        needed = max(0, len(cached.waiting) - cached.asked)
+        ahead = self._count_ahead(cached, at)
+        if not (needed or ahead):
+            return []
+        leader = self._ownership.leader_of_group(group)
+        if leader is None:
+            return self._ownership.ask_leader(group, at)
+        self._number += 1
+        lease_s = BLOCK_LEASE_S if ahead else SINGLE_LEASE_S
+        ask = Ask(account, group, self._number, needed, ahead, at, at + lease_s)
+        self._asks[ask.number] = ask
+        cached.asked += needed
+        cached.asks_ahead += bool(ahead)
+        return [*self._send_ask(ask), *self._set_wait_timer(at)]
+
+    def _count_ahead(self, cached: CachedAccount, at: float) -> int:
+        block = cached.block_at(at)
+        if self._stopping or cached.asks_ahead or at < cached.denied_until:
+            return 0
+        return block if cached.count_left(at) * 2 <= block else 0
+
+    def _send_ask(self, ask: Ask) -> list[Output]:
+        leader = self._ownership.leader_of_group(ask.group)
+        if leader is None:
+            return []
+        message = TokensAsked(
+            ask.account, self.run, ask.number, ask.needed, ask.ahead
+        )
+        return [SendMessage(leader, message), *self._send_reports(leader)]
+
+    def _forget_ask(self, ask: Ask) -> CachedAccount:
+        self._asks.pop(ask.number)
+        cached = self._accounts[ask.account]
+        cached.asked -= ask.needed
+        cached.asks_ahead -= bool(ask.ahead)
+        return cached
+
+    def _serve_waiting(self, cached: CachedAccount, at: float) -> list[Output]:
+        outputs: list[Output] = []
+        while cached.waiting and cached.use_token(at):
+            request_id = cached.waiting.pop(0)
+            self._waiting.pop(request_id)
+            outputs.append(TokenGranted(at, request_id))
+        return outputs
+
+    def _deny_uncovered(
+        self, cached: CachedAccount, given: TokensGiven, at: float
+    ) -> list[Output]:
+        """Deny the waiting requests that no other ask covers."""
+        reason = RefusalReason.limit_owner_unreachable
+        wait_s: float | None = given.wait_s
+        if given.verdict == Verdict.rate:
+            reason = RefusalReason.rate_exceeded
+            remembered_s = min(given.wait_s, _MOST_DENIED_S)
+            cached.denied_until = at + max(0, remembered_s)
+        if given.wait_s < 0:
+            wait_s = None
+        outputs: list[Output] = []
+        while len(cached.waiting) > cached.asked:
+            request_id = cached.waiting.pop(0)
+            self._waiting.pop(request_id)
+            outputs.append(_deny(request_id, reason, at, wait_s))
+        return outputs
+
+    def _close_leases(self, account: str, group: str, at: float) -> None:
+        for lease in self._accounts[account].close_leases(at):
+            # A used single token expires soon enough without a message.
+            if lease.left or lease.is_block:
+                self._report(account, group, lease)
+
+    def _report(self, account: str, group: str, lease: Lease) -> None:
+        """Keep the report for the next message to the owner."""
+        reports = self._reports.setdefault(group, [])
+        reports.append(LeaseReport(account, lease.number, lease.left))
+
+    def _send_reports(self, leader: VmId | None = None) -> list[Output]:
+        """Send the reports for one leader, or for all of them."""
+        outputs: list[Output] = []
+        for group in tuple(self._reports):
+            to = self._ownership.leader_of_group(group)
+            if leader is not None and to != leader:
+                continue
+            reports = tuple(self._reports.pop(group))
+            if to is not None:
+                message = TokensReported(self.run, reports)
+                outputs.append(SendMessage(to, message))
+        return outputs
+
+    def _group_of(self, account: str) -> str:
+        if self.configuration is None:
+            return ''
+        known = self.configuration.accounts.get(account)
+        if known is None:
+            return ''
+        region = choose_region(
+            self.configuration, known, self._region, self._regions
+        )
+        return self._ownership.group_of(region, account)
+
+    def _make_room(self, at: float) -> None:
+        """Forget idle accounts early if there are too many."""
+        if len(self._accounts) < _MOST_CACHED:
+            return
+        for account, cached in tuple(self._accounts.items()):
+            if not cached.busy and at > cached.used_at:
+                self._accounts.pop(account)
+
+    def _set_wait_timer(self, at: float) -> list[Output]:
+        if self._checks_waiting or not (self._asks or self._waiting):
+            return []
+        self._checks_waiting = True
+        return [SetTimer(PART, WAIT_TIMER, at + _WAIT_CHECK_S)]
+
+    def _set_lease_timer(self, at: float) -> list[Output]:
+        if self._checks_leases or not self._accounts:
+            return []
+        self._checks_leases = True
+        return [SetTimer(PART, LEASE_TIMER, at + _LEASE_CHECK_S)]
+
+
+def _deny(
+    request_id: RequestId,
+    reason: RefusalReason,
+    at: float,
+    wait_s: float | None = None,
+) -> Output:
+    return TokenDenied(at, request_id, reason, wait_s)
+
+
+def _deny_unreachable(request_id: RequestId, at: float) -> Output:
+    reason = RefusalReason.limit_owner_unreachable
+    return _deny(request_id, reason, at, _RETRY_S)
+
+
+__all__ = ('LEASE_TIMER', 'PART', 'WAIT_TIMER', 'TokenClient')
--- /dev/null
+++ b/src/cranberryseam/limits/owner.py
@@ -0,0 +1,267 @@
+"""Token buckets of the groups that this VM leads."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..configuration.model import Configuration
+from ..core.effects import IncrementCounter, SendMessage
+from .bucket import BLOCK_LEASE_S, OWNER_MARGIN, SINGLE_LEASE_S, Bucket, Grant
+from .changes import PendingChanges
+from .messages import TokensAsked, TokensGiven, TokensReported
+from .shares import find_limit
+
+if TYPE_CHECKING:
+    from ..configuration.settings import Settings
+    from ..ownership import Ownership
+    from ..types import Output, VmId
+    from .shares import Limit
+
+_SWEEP_S = 5.0
+# A new leader waits for the leases of the one before.
+_HANDOVER_S = BLOCK_LEASE_S * OWNER_MARGIN
+_LAG_S = 1.0
+
+
+class Verdict(IntEnum):
+    """Why an answer has fewer tokens than asked for."""
+
+    rate = 0
+    not_ready = 1
+    account_unknown = 2
+
+
+@attrs.define
+class Book:
+    """All buckets of one group during one term.
+
+    Parameters
+    ----------
+    opens_at
+        Buckets are empty until then, because the leases of the leader
+        before may still be in use. A bucket that isn't kept has filled
+        since then.
+
+    """
+
+    term: int
+    opens_at: float
+    swept_at: float
+    buckets: dict[str, Bucket] = attrs.field(factory=dict)
+
+
+class BucketOwner:
+    """Owner's side: gives tokens of the buckets of groups it leads."""
+
+    def __init__(self, settings: Settings, ownership: Ownership) -> None:
+        """Start without buckets."""
+        self._region = settings.vm.region
+        self._regions = settings.region_names
+        self._ownership = ownership
+        self._books: dict[str, Book] = {}
+        self._configuration: Configuration | None = None
+        nothing = Configuration()
+        self._changes = PendingChanges(nothing, nothing, 0)
+
+    def answer(
+        self, sender: VmId, asked: TokensAsked, at: float
+    ) -> list[Output]:
+        """Lease tokens, or say why there are none."""
+        group = self._ownership.group_of(self._region, asked.account)
+        book = self._find_book(group, at)
+        if book is None:
+            return self._ownership.tell_leader(group, sender)
+        self._change_now(asked.account)
+        limit = self._find_limit(asked.account, self._configuration)
+        if limit is None:
+            return [_refuse(sender, asked, Verdict.account_unknown, _LAG_S)]
+        if at < book.opens_at:
+            wait_s = book.opens_at - at
+            return [_refuse(sender, asked, Verdict.not_ready, wait_s)]
+        bucket = _find_bucket(book, asked.account, limit, at)
+        bucket.settle(at)
+        count = _lease(bucket, sender, asked, at)
+        given = TokensGiven(
+            asked.run,
+            asked.number,
+            count,
+            int(Verdict.rate),
+            bucket.count_wait_s(at),
+        )
+        return [SendMessage(sender, given)]
+
+    def take_reports(
+        self, sender: VmId, reported: TokensReported, at: float
+    ) -> None:
+        """End leases; unknown ones have expired before."""
+        for report in reported.reports:
+            self._change_now(report.account)
+            bucket = self._find_kept_bucket(report.account, at)
+            if bucket is None:
+                continue
+            bucket.settle(at)
+            grant = bucket.find_grant(sender, reported.run, report.number)
+            if grant is not None:
+                bucket.end_grant(grant, report.unused)
+
+    def change_configuration(
+        self, configuration: Configuration, at: float
+    ) -> None:
+        """Apply changed plans to the buckets of all books."""
+        before = self._configuration
+        if before is not None:
+            if (
+                before.accounts is configuration.accounts
+                and before.plans is configuration.plans
+            ):
+                self._configuration = configuration
+                return
+            # The changes before this one refer to the configuration between.
+            self.apply_changes(len(self._changes))
+        self._configuration = configuration
+        for group, book in tuple(self._books.items()):
+            if self._ownership.term_of(group, at) != book.term:
+                self._books.pop(group)
+            elif before is None:
+                # All accounts are new to this VM, as to a new leader.
+                book.buckets.clear()
+                book.opens_at = max(book.opens_at, at + _HANDOVER_S)
+        if before is not None and self._books:
+            self._changes = PendingChanges(before, configuration, at)
+
+    def apply_changes(self, most: int) -> bool:
+        """Apply changed limits of some accounts; return whether any are left.
+
+        An account that is asked for is changed at once, so that a new limit
+        is in force for all accounts from its notice on.
+        """
+        for account in self._changes.take_slice(most):
+            self._change_account(account, self._changes)
+        return bool(self._changes)
+
+    def open_book(self, group: str, at: float) -> None:
+        """Start the empty buckets of a group that this VM now leads."""
+        self._find_book(group, at)
+
+    def sweep(self, at: float) -> list[Output]:
+        """Drop buckets that are full again and books of past terms."""
+        dropped = 0
+        for group, book in tuple(self._books.items()):
+            if self._ownership.term_of(group, at) != book.term:
+                self._books.pop(group)
+            elif at >= book.swept_at + _SWEEP_S:
+                book.swept_at = at
+                dropped += _drop_full(book, self._changes, at)
+        if dropped:
+            return [IncrementCounter('limits.bucket_dropped', dropped)]
+        return []
+
+    def count_buckets(self) -> int:
+        """Return the number of buckets in memory."""
+        return sum(len(book.buckets) for book in self._books.values())
+
+    def _find_book(self, group: str, at: float) -> Book | None:
+        term = self._ownership.term_of(group, at)
+        if term is None:
+            self._books.pop(group, None)
+            return None
+        book = self._books.get(group)
+        if book is None or book.term != term:
+            opens_at = self._ownership.leads_since(group) + _HANDOVER_S
+            book = Book(term, opens_at, at)
+            self._books[group] = book
+        return book
+
+    def _find_kept_bucket(self, account: str, at: float) -> Bucket | None:
+        group = self._ownership.group_of(self._region, account)
+        book = self._find_book(group, at)
+        return book.buckets.get(account) if book else None
+
+    def _find_limit(
+        self, account: str, configuration: Configuration | None
+    ) -> Limit | None:
+        if configuration is None:
+            return None
+        return find_limit(configuration, account, self._region, self._regions)
+
+    def _change_now(self, account: str) -> None:
+        if self._changes.take(account):
+            self._change_account(account, self._changes)
+
+    def _change_account(self, account: str, changes: PendingChanges) -> None:
+        """Keep the level of a bucket whose limit changed.
+
+        A bucket that isn't kept must not be computed from the new limit, as
+        a larger burst would then count as filled already.
+        """
+        at = changes.at
+        old = self._find_limit(account, changes.before)
+        limit = self._find_limit(account, self._configuration)
+        if limit == old:
+            return
+        group = self._ownership.group_of(self._region, account)
+        book = self._books.get(group)
+        if book is None:
+            return
+        if limit is None:
+            book.buckets.pop(account, None)
+        elif old is None:
+            # It may have been removed, or moved from another region, a
+            # moment ago, with leases that are still in use.
+            opens_at = max(at + _HANDOVER_S, book.opens_at)
+            book.buckets[account] = Bucket(limit, 0, opens_at)
+        else:
+            bucket = _find_bucket(book, account, old, at)
+            bucket.change_limit(limit, at)
+
+
+def _find_bucket(book: Book, account: str, limit: Limit, at: float) -> Bucket:
+    """Return a kept bucket, or one that has filled since the book opened."""
+    bucket = book.buckets.get(account)
+    if bucket is None:
+        filled = limit.rate * max(0, at - book.opens_at)
+        level = min(limit.burst, filled)
+        bucket = Bucket(limit, level, max(at, book.opens_at))
+        book.buckets[account] = bucket
+    return bucket
+
+
+def _lease(bucket: Bucket, vm: str, asked: TokensAsked, at: float) -> int:
+    known = bucket.find_grant(vm, asked.run, asked.number)
+    if known is not None:
+        return known.count
+    count = bucket.take(asked.needed, asked.ahead)
+    if count:
+        lease_s = BLOCK_LEASE_S if asked.ahead else SINGLE_LEASE_S
+        until = at + lease_s * OWNER_MARGIN
+        bucket.add_grant(Grant(vm, asked.run, asked.number, count, until))
+    return count
+
+
+def _refuse(
+    to: VmId, asked: TokensAsked, verdict: Verdict, wait_s: float
+) -> Output:
+    return SendMessage(
+        to, TokensGiven(asked.run, asked.number, 0, int(verdict), wait_s)
+    )
+
+
+def _drop_full(book: Book, changes: PendingChanges, at: float) -> int:
+    dropped = 0
+    for account, bucket in tuple(book.buckets.items()):
+        if account in changes:
+            continue
+        bucket.settle(at)
+        # After a change of rate the time since the opening may be too short
+        # to compute the level from.
+        filled = bucket.limit.rate * (at - book.opens_at)
+        if bucket.full and filled >= bucket.limit.burst:
+            book.buckets.pop(account)
+            dropped += 1
+    return dropped
+
+
+__all__ = ('BucketOwner', 'Verdict')
--- /dev/null
+++ b/src/cranberryseam/limits/part.py
@@ -0,0 +1,150 @@
+"""Rate limits: token leases at entry VMs, buckets at group leaders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.effects import SetTimer
+from ..core.events import (
+    Event,
+    MessageReceived,
+    Started,
+    StopRequested,
+    TimerFired,
+)
+from ..core.notices import ConfigurationChanged, LeadershipChanged
+from ..ownership import deliver_to_self
+from .changes import SLICE_ACCOUNTS
+from .entry import LEASE_TIMER, PART, WAIT_TIMER, TokenClient
+from .messages import TokensAsked, TokensGiven, TokensReported
+from .owner import BucketOwner
+
+if TYPE_CHECKING:
+    import random
+
+    from ..configuration.settings import Settings
+    from ..core.messages import Message
+    from ..core.notices import Notice
+    from ..ownership import Ownership
+    from ..types import AccountId, Output, RequestId, VmId
+
+_SWEEP_TIMER = 'sweep'
+_SWEEP_S = 5.0
+_CHANGES_TIMER = 'changes'
+_SLICE_PAUSE_S = 0.05
+_MICROSECONDS = 1_000_000
+_RANDOM_BITS = 12
+
+
+class Limiter:
+    """Rate limits of all accounts, counted over the whole fleet.
+
+    Parameters
+    ----------
+    ownership
+        Says who owns a bucket, and whether this VM does.
+    rng
+        Source of the number of this run.
+
+    """
+
+    def __init__(
+        self, settings: Settings, ownership: Ownership, rng: random.Random
+    ) -> None:
+        """Start without tokens and buckets."""
+        self._vm = settings.vm_id
+        self._ownership = ownership
+        self._rng = rng
+        self._client = TokenClient(settings, ownership)
+        self._owner = BucketOwner(settings, ownership)
+
+    def handle(self, event: Event | Notice) -> list[Output]:
+        """Apply one event or notice."""
+        at = event.at
+        match event:
+            case Started(wall_s=wall_s):
+                run = int(wall_s * _MICROSECONDS) << _RANDOM_BITS
+                self._client.run = run + self._rng.getrandbits(_RANDOM_BITS)
+                return [SetTimer(PART, _SWEEP_TIMER, at + _SWEEP_S)]
+            case ConfigurationChanged(configuration=configuration):
+                self._client.configuration = configuration
+                self._owner.change_configuration(configuration, at)
+                return self._apply_changes(at)
+            case LeadershipChanged(group=group, leader=leader):
+                return self._change_leader(group, leader, at)
+            case MessageReceived(sender=sender, message=message):
+                return self._settle(self._receive(sender, message, at), at)
+            case TimerFired(part=part, name=name) if part == PART:
+                return self._settle(self._fire(name, at), at)
+            case StopRequested():
+                return self._settle(self._client.return_all(), at)
+        return []
+
+    def acquire(
+        self, request_id: RequestId, account: AccountId, at: float
+    ) -> list[Output]:
+        """Get one token of an account's rate for a request.
+
+        Returns
+        -------
+        ``TokenGranted`` or ``TokenDenied``, now or within 250 ms, and
+        effects.
+
+        """
+        return self._settle(self._client.acquire(request_id, account, at), at)
+
+    def cancel(self, request_id: RequestId, at: float) -> list[Output]:
+        """Forget a request that no longer waits for a token."""
+        self._client.cancel(request_id)
+        return []
+
+    def count_state(self) -> tuple[int, int]:
+        """Return the numbers of buckets and of cached accounts in memory."""
+        return self._owner.count_buckets(), self._client.count_cached()
+
+    def _apply_changes(self, at: float) -> list[Output]:
+        if self._owner.apply_changes(SLICE_ACCOUNTS):
+            return [SetTimer(PART, _CHANGES_TIMER, at + _SLICE_PAUSE_S)]
+        return []
+
+    def _fire(self, name: str, at: float) -> list[Output]:
+        match name:
+            case name if name == WAIT_TIMER:
+                return self._client.check_waiting(at)
+            case name if name == LEASE_TIMER:
+                return self._client.check_leases(at)
+            case name if name == _CHANGES_TIMER:
+                return self._apply_changes(at)
+        sweep = SetTimer(PART, _SWEEP_TIMER, at + _SWEEP_S)
+        return [sweep, *self._owner.sweep(at)]
+
+    def _change_leader(
+        self, group: str, leader: VmId | None, at: float
+    ) -> list[Output]:
+        if leader is None:
+            return []
+        if leader == self._vm:
+            self._owner.open_book(group, at)
+        return self._settle(self._client.follow_leader(group, at), at)
+
+    def _receive(
+        self, sender: VmId, message: Message, at: float
+    ) -> list[Output]:
+        match message:
+            case TokensAsked():
+                return self._owner.answer(sender, message, at)
+            case TokensGiven():
+                return self._client.take_tokens(message, at)
+            case TokensReported():
+                self._owner.take_reports(sender, message, at)
+        return []
+
+    def _settle(self, outputs: list[Output], at: float) -> list[Output]:
+        return deliver_to_self(
+            self._vm,
+            outputs,
+            lambda message: self._receive(self._vm, message, at),
+        )
+
+
+__all__ = ('Limiter',)
