--- /dev/null
+++ b/tests/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the folder of this name."""
--- /dev/null
+++ b/tests/idempotency/schedules.py
@@ -0,0 +1,241 @@
+"""Seeded schedules of idempotent requests, checked by one naive set."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+import attrs
+from ownership.fleet import OPEN_S, Fleet
+
+from cranberryseam.configuration.model import Account, Plan
+from cranberryseam.core import events
+from cranberryseam.core.notices import (
+    ClaimGranted,
+    ClaimRefused,
+    ClaimReplayed,
+    Notice,
+)
+from cranberryseam.core.refusals import Ran
+from cranberryseam.types import AccountId, RequestId
+
+ACCOUNTS = (
+    Account(AccountId('one'), 'plan', 'a'),
+    Account(AccountId('two'), 'plan', 'b'),
+)
+PLANS = (Plan('plan', 10, 10, 1, ()),)
+_LEADER_FAULT = 7
+
+
+@attrs.define
+class Key:
+    """What the naive set knows of one idempotency key.
+
+    Parameters
+    ----------
+    runs
+        Number of executions by targets; more than one breaks the guarantee.
+    running
+        Requests that were granted and may still run.
+
+    """
+
+    runs: int = 0
+    running: set[int] = attrs.field(factory=set)
+
+
+@attrs.define
+class Request:
+    """A request as a caller sees it."""
+
+    vm: str
+    run: int
+    account: str
+    key: str
+    sent_at: float
+    answers: list[Notice] = attrs.field(factory=list)
+
+
+@attrs.define
+class Callers:
+    """Sends requests, runs the granted ones and counts executions.
+
+    Parameters
+    ----------
+    runs_requests
+        False if a test decides itself how requests end.
+
+    """
+
+    fleet: Fleet
+    runs_requests: bool = True
+    keys: dict[tuple[str, str], Key] = attrs.field(
+        factory=lambda: defaultdict(Key)
+    )
+    requests: dict[int, Request] = attrs.field(factory=dict)
+    second_runs: int = 0
+    second_grants: int = 0
+    false_answers: int = 0
+    worst_wait_s: float = 0
+    verdicts: Counter[str] = attrs.field(factory=Counter)
+
+    def send(self, vm: str, account: str, key: str) -> int:
+        number = len(self.requests)
+        self.requests[number] = Request(
+            vm, self.fleet.vms[vm].run, account, key, self.fleet.now
+        )
+        self.fleet.claim(vm, number, account, key)
+        return number
+
+    def listen(self, now: float, vm: str, notice: Notice) -> None:
+        if not isinstance(notice, ClaimGranted | ClaimReplayed | ClaimRefused):
+            return
+        request = self.requests[int(notice.request_id)]
+        request.answers.append(notice)
+        self.worst_wait_s = max(self.worst_wait_s, now - request.sent_at)
+        key = self.keys[request.account, request.key]
+        match notice:
+            case ClaimGranted():
+                self.verdicts['granted'] += 1
+                self._run(int(notice.request_id), request, key)
+            case ClaimReplayed():
+                self.verdicts['replayed'] += 1
+                self.false_answers += not key.runs
+            case ClaimRefused():
+                self.verdicts[notice.reason.value] += 1
+                # Every grant of this fleet either runs or says that it
+                # didn't, so "yes" must have a run.
+                self.false_answers += notice.ran is Ran.yes and not key.runs
+
+    def _run(self, number: int, request: Request, key: Key) -> None:
+        """Run on a target: at once, late, not at all or without answer."""
+        if not self.runs_requests:
+            return
+        self.second_grants += bool(key.running or key.runs)
+        if len(request.answers) > 1:
+            self.false_answers += 1
+        key.running.add(number)
+        rng = self.fleet.rng
+        fate = rng.random()
+        delay = rng.choice([0.01, 0.05, 0.5, 2.0])
+
+        def finish() -> None:
+            vm = self.fleet.vms[request.vm]
+            if vm.down or vm.run != request.run:
+                # The request died with its VM, perhaps after it was sent.
+                key.runs += fate < 0.5
+                return
+            if fate < 0.3:
+                key.running.discard(number)
+                self._complete(request, number, None, Ran.no)
+                return
+            key.runs += 1
+            self.second_runs += key.runs > 1
+            if fate < 0.8:
+                answer = events.StoredAnswer(200, (), b'%d' % number)
+                self._complete(request, number, answer, Ran.yes)
+            elif fate < 0.9:
+                self._complete(request, number, None, Ran.unknown)
+            else:
+                self._complete(request, number, None, Ran.yes)
+
+        self.fleet.schedule(self.fleet.now + delay, finish)
+
+    def _complete(
+        self,
+        request: Request,
+        number: int,
+        answer: events.StoredAnswer | None,
+        ran: Ran,
+    ) -> None:
+        fleet = self.fleet
+        fleet.call(
+            request.vm,
+            lambda vm: vm.parts[2].complete(
+                RequestId(number), answer, ran, vm.at(fleet.now)
+            ),
+        )
+
+
+def make_fleet(
+    seed: int, *, initialised: bool = True, drift: float = 0.01
+) -> tuple[Fleet, Callers]:
+    """Return a fleet; its first members aren't blank if it is new."""
+    fleet = Fleet(seed, {'a': 4, 'b': 3}, ACCOUNTS, PLANS, drift)
+    if initialised:
+        wall_s = fleet.configuration.initialised_wall_s + 1005
+        fleet.change(
+            attrs.evolve(fleet.configuration, initialised_wall_s=wall_s)
+        )
+    callers = Callers(fleet)
+    fleet.listeners.append(callers.listen)
+    return fleet, callers
+
+
+def disturb(fleet: Fleet, until: float) -> None:
+    """Start random faults, often at a leader, until a time."""
+    if fleet.now >= until:
+        return
+    vm = fleet.rng.choice(list(fleet.vms))
+    leaders = fleet.leaders('a-g')
+    if leaders and fleet.rng.random() < 0.6:
+        vm = leaders[0]
+    other = fleet.rng.choice(list(fleet.vms))
+    match fleet.rng.randrange(8):
+        case 0 | 1:
+            fleet.restart(vm, fleet.rng.random() * 0.5)
+        case 2:
+            fleet.freeze(vm, fleet.rng.random() * 6)
+        case 3:
+            fleet.isolate(vm, hears=False, heard=True)
+        case 4:
+            fleet.isolate(vm, hears=True, heard=False)
+        case 5:
+            fleet.handle(vm, events.StopRequested)
+            fleet.restart(vm, 0.3)
+        case 6:
+            fleet.cut(vm, other)
+        case _:
+            fleet.heal()
+    fleet.schedule(
+        fleet.now + fleet.rng.random() * 4, lambda: disturb(fleet, until)
+    )
+
+
+def send_load(callers: Callers, until: float, keys: int, rate: float) -> None:
+    """Send requests with few keys, so that most are duplicates."""
+    fleet = callers.fleet
+    at = fleet.now
+    while (at := at + fleet.rng.expovariate(rate)) < until:
+        vm = fleet.rng.choice(list(fleet.vms))
+        account = fleet.rng.choice(['one', 'one', 'two'])
+        # Keys of one moment are close together, as retries are.
+        key = str(int(at) + fleet.rng.randrange(keys))
+        fleet.schedule(
+            at,
+            lambda vm=vm, account=account, key=key: callers.send(
+                vm, account, key
+            ),
+        )
+
+
+def run_faulty(seed: int, seconds: float = 25) -> Callers:
+    """Run one schedule with faults of all kinds."""
+    fleet, callers = make_fleet(seed)
+    fleet.run_until(OPEN_S)
+    fleet.network.loss = 0.05 * (seed % 3)
+    fleet.network.duplication = 0.15
+    fleet.network.long_delay = 0.1
+    fleet.network.most_delay_s = 4
+    send_load(callers, OPEN_S + seconds, 4, 12)
+    disturb(fleet, OPEN_S + seconds)
+    fleet.run_until(OPEN_S + seconds + 4)
+    return callers
+
+
+def run_healthy(seed: int, seconds: float = 20) -> Callers:
+    """Run one schedule without faults."""
+    fleet, callers = make_fleet(seed)
+    fleet.run_until(OPEN_S)
+    send_load(callers, OPEN_S + seconds, 4, 12)
+    fleet.run_until(OPEN_S + seconds + 4)
+    return callers
--- /dev/null
+++ b/tests/idempotency/test_part.py
@@ -0,0 +1,350 @@
+"""Tests of claims over several VMs."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import attrs
+import testtools
+from ownership.fleet import OPEN_S
+from parameterized import parameterized
+
+from cranberryseam.core.events import StoredAnswer
+from cranberryseam.core.notices import (
+    ClaimGranted,
+    ClaimRefused,
+    ClaimReplayed,
+    Notice,
+)
+from cranberryseam.core.refusals import Ran, RefusalReason
+from cranberryseam.idempotency import owner, table
+from cranberryseam.idempotency.entry import ClaimClient
+from cranberryseam.idempotency.messages import ClaimAnswered
+from cranberryseam.idempotency.records import Record, State, Verdict
+from cranberryseam.idempotency.replica import Replica
+from cranberryseam.types import AccountId, Output, RequestId
+
+from .schedules import Callers, make_fleet, run_faulty, run_healthy
+
+# The full count is in benchmarks/claim_schedules.py.
+_SEEDS = 30
+_FAULT_SEEDS = 60
+_ANSWER = StoredAnswer(201, ((b'x', b'y'),), b'done')
+
+
+class ScheduleTest(testtools.TestCase):
+    """Guards against a second execution under one key."""
+
+    @parameterized.expand([(first,) for first in range(0, _SEEDS, 5)])
+    def test_faulty(self, first: int) -> None:
+        """No fault leads to a second grant or to an untrue answer."""
+        for seed in range(first, first + 5):
+            self.assertEqual(_count_wrong(run_faulty(seed)), 0, seed)
+
+    def test_healthy(self) -> None:
+        """Without faults every request is answered from its first run."""
+        callers = run_healthy(1)
+        self.assertEqual(_count_wrong(callers), 0)
+        self.assertNotIn('claim_owner_unreachable', callers.verdicts)
+        self.assertGreater(callers.verdicts['replayed'], 50)
+        self.assertTrue(
+            all(len(sent.answers) == 1 for sent in callers.requests.values())
+        )
+
+    def test_members_lost_in_turn(self) -> None:
+        """The members that hold a record are lost, the third lacks it."""
+        self.assertEqual(_lose_record_holders(), 0)
+
+
+class FaultTest(testtools.TestCase):
+    """Shows that the tests above find known faults."""
+
+    def test_grant_before_replication(self) -> None:
+        """A claim that only the leader has is lost with it."""
+        stored = owner.ClaimOwner._store
+
+        def store(
+            claims: owner.ClaimOwner,
+            record: Record,
+            holder: owner.Claimant,
+            at: float,
+        ) -> list[Output]:
+            outputs = stored(claims, record, holder, at)
+            if record.state == State.pending:
+                outputs.append(owner._answer(holder, Verdict.granted))
+            return outputs
+
+        with mock.patch.object(owner.ClaimOwner, '_store', store):
+            self.assertTrue(_find_wrong())
+
+    def test_blank_member_votes(self) -> None:
+        """A blank member says "no record" of a key that has run."""
+        with mock.patch.object(Replica, 'is_blank', lambda *_: False):
+            self.assertGreater(_lose_record_holders(), 0)
+
+    def test_late_grant_always_released(self) -> None:
+        """A repeated grant of a request that ran must not free its key."""
+
+        def refuse(
+            client: ClaimClient, answered: ClaimAnswered, at: float
+        ) -> list[Output]:
+            claim = claims.get((answered.run, answered.number))
+            if claim is None or answered.verdict != Verdict.granted:
+                return []
+            return client._finish(claim, State.released, at)
+
+        def send(client: ClaimClient, claim: object, at: float) -> list[Output]:
+            claims[claim.asked.run, claim.asked.number] = claim  # type: ignore
+            return sent(client, claim, at)  # type: ignore[arg-type]
+
+        claims: dict[tuple[int, int], object] = {}
+        sent = ClaimClient._send_ask
+        with (
+            mock.patch.object(ClaimClient, '_refuse_late_grant', refuse),
+            mock.patch.object(ClaimClient, '_send_ask', send),
+        ):
+            self.assertTrue(_find_wrong())
+
+
+class ClaimsTest(testtools.TestCase):
+    """Guards against untruthful answers to duplicates."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet, self.callers = make_fleet(1)
+        self.callers.runs_requests = False
+        self.fleet.run_until(OPEN_S)
+
+    def _send(self, vm: str, key: str, wait_s: float = 0.1) -> int:
+        number = self.callers.send(vm, 'one', key)
+        self.fleet.run_until(self.fleet.now + wait_s)
+        return number
+
+    def _answer_to(self, number: int) -> Notice | None:
+        answers = self.callers.requests[number].answers
+        return answers[-1] if answers else None
+
+    def _complete(
+        self, vm: str, number: int, answer: StoredAnswer | None, ran: Ran
+    ) -> None:
+        self.fleet.call(
+            vm,
+            lambda current: current.parts[2].complete(
+                RequestId(number), answer, ran, current.at(self.fleet.now)
+            ),
+        )
+        self.fleet.run_until(self.fleet.now + 0.3)
+
+    @parameterized.expand(
+        [
+            ('kept', _ANSWER, Ran.yes, None, None),
+            ('not_kept', None, Ran.yes, 'answer_not_kept', Ran.yes),
+            (
+                'unknown',
+                None,
+                Ran.unknown,
+                'duplicate_outcome_unknown',
+                Ran.unknown,
+            ),
+        ]
+    )
+    def test_outcome(
+        self,
+        _name: str,
+        answer: StoredAnswer | None,
+        ran: Ran,
+        reason: str | None,
+        refused: Ran | None,
+    ) -> None:
+        """Waiting and later duplicates learn the first outcome."""
+        first = self._send('a3', 'k')
+        waiting = self._send('b0', 'k')
+        self.assertIsInstance(self._answer_to(first), ClaimGranted)
+        self.assertIsNone(self._answer_to(waiting))
+        self._complete('a3', first, answer, ran)
+        later = self._send('a2', 'k')
+        for number in (waiting, later):
+            told = self._answer_to(number)
+            if reason is None:
+                self.assertIsInstance(told, ClaimReplayed)
+                self.assertEqual(told.answer, _ANSWER)
+            else:
+                self.assertEqual(
+                    (told.reason.value, told.ran), (reason, refused)
+                )
+
+    def test_released(self) -> None:
+        """After "not run" exactly one waiting duplicate runs."""
+        first = self._send('a3', 'k')
+        waiting = [self._send(vm, 'k') for vm in ('b0', 'b1', 'a1')]
+        self._complete('a3', first, None, Ran.no)
+        answers = [self._answer_to(number) for number in waiting]
+        self.assertIsInstance(answers[0], ClaimGranted)
+        self.assertEqual(answers[1:], [None, None])
+
+    def test_waits_are_bounded(self) -> None:
+        """A duplicate of a request that never ends is refused in time."""
+        self._send('a3', 'k')
+        waiting = self._send('b0', 'k', 3.2)
+        told = self._answer_to(waiting)
+        self.assertEqual(told.reason, RefusalReason.duplicate_in_progress)
+        self.assertEqual(told.ran, Ran.unknown)
+
+    def test_entry_dies(self) -> None:
+        """The key of a VM that died after the grant reads as unknown."""
+        self._send('a3', 'k')
+        self.fleet.restart('a3')
+        self.fleet.run_until(self.fleet.now + 61)
+        told = self._answer_to(self._send('b0', 'k'))
+        self.assertEqual(told.reason, RefusalReason.duplicate_outcome_unknown)
+
+    def test_key_reused(self) -> None:
+        """Another request under the same key is refused, not replayed."""
+        first = self._send('a3', 'k')
+        self._complete('a3', first, _ANSWER, Ran.yes)
+        self.fleet.call(
+            'a3',
+            lambda vm: vm.parts[2].claim(
+                RequestId(first),
+                AccountId('one'),
+                'k',
+                b'other',
+                vm.at(self.fleet.now),
+            ),
+        )
+        self.fleet.run_until(self.fleet.now + 0.1)
+        told = self._answer_to(first)
+        self.assertEqual(told.reason, RefusalReason.idempotency_key_reused)
+        self.assertEqual(told.ran, Ran.no)
+
+    def test_lost_grant(self) -> None:
+        """A lost answer is repeated to the same request."""
+        self._send('a3', 'other')
+        self.fleet.cut('a0', 'a3')
+        first = self._send('a3', 'k', 0.4)
+        self.assertIsNone(self._answer_to(first))
+        self.fleet.heal()
+        self.fleet.run_until(self.fleet.now + 0.5)
+        self.assertIsInstance(self._answer_to(first), ClaimGranted)
+
+    def test_late_grant(self) -> None:
+        """A grant after the refusal doesn't run, and frees the key."""
+        self._send('a3', 'other')
+        self.fleet.network.slow_s['a0', 'a3'] = 2
+        first = self._send('a3', 'k', 5)
+        answers = self.callers.requests[first].answers
+        self.assertEqual([type(told) for told in answers], [ClaimRefused])
+        self.assertEqual(answers[0].ran, Ran.no)
+        second = self._send('b0', 'k')
+        self.assertIsInstance(self._answer_to(second), ClaimGranted)
+
+    def test_frozen_entry(self) -> None:
+        """A grant that waited in a frozen VM's buffer is not used."""
+        self._send('a3', 'other')
+        first = self._send('a3', 'k', 0)
+        self.fleet.freeze('a3', 5)
+        self.fleet.run_until(self.fleet.now + 6)
+        self.assertIsInstance(self._answer_to(first), ClaimRefused)
+        second = self._send('b0', 'k')
+        self.assertIsInstance(self._answer_to(second), ClaimGranted)
+
+    def test_owner_unreachable(self) -> None:
+        """Without the owner nothing runs."""
+        self.fleet.isolate('b0', hears=False, heard=True)
+        told = self._answer_to(self._send('b0', 'k', 1.3))
+        self.assertEqual(told.reason, RefusalReason.claim_owner_unreachable)
+        self.assertEqual(told.ran, Ran.no)
+
+    def test_leader_change(self) -> None:
+        """The next leader knows the records of the one before."""
+        first = self._send('a3', 'k')
+        self._complete('a3', first, _ANSWER, Ran.yes)
+        self.fleet.restart('a0', 30)
+        self.fleet.run_until(self.fleet.now + 10)
+        told = self._answer_to(self._send('b0', 'k'))
+        self.assertIsInstance(told, ClaimReplayed)
+
+    def test_restarted_member_catches_up(self) -> None:
+        """Members that restart one after the other lose nothing."""
+        first = self._send('a3', 'k')
+        self._complete('a3', first, _ANSWER, Ran.yes)
+        for name in ('a2', 'a1', 'a0', 'a2', 'a1', 'a0'):
+            self.fleet.restart(name)
+            self.fleet.run_until(self.fleet.now + 15)
+        told = self._answer_to(self._send('b0', 'k'))
+        self.assertIsInstance(told, ClaimReplayed)
+
+    def test_blank_group(self) -> None:
+        """A group without records refuses until their life is over."""
+        for name in ('a0', 'a1', 'a2'):
+            self.fleet.restart(name)
+        self.fleet.run_until(self.fleet.now + 20)
+        told = self._answer_to(self._send('b0', 'k', 1.5))
+        self.assertEqual(told.reason, RefusalReason.claim_owner_unreachable)
+        self.fleet.run_until(self.fleet.now + 640)
+        told = self._answer_to(self._send('b0', 'k', 1.5))
+        self.assertIsInstance(told, ClaimGranted)
+
+    def test_moved_account(self) -> None:
+        """Records stay behind in the old home; the new one waits."""
+        first = self._send('a3', 'k')
+        self._complete('a3', first, _ANSWER, Ran.yes)
+        before = self.fleet.configuration
+        moved = attrs.evolve(before.accounts['one'], home='b')
+        accounts = {**before.accounts, 'one': moved}
+        self.fleet.change(attrs.evolve(before, accounts=accounts), 1)
+        self.fleet.run_until(self.fleet.now + 2)
+        told = self._answer_to(self._send('a3', 'k', 1.5))
+        self.assertEqual(told.reason, RefusalReason.claim_owner_unreachable)
+        self.fleet.run_until(self.fleet.now + 640)
+        told = self._answer_to(self._send('a3', 'k2', 1.5))
+        self.assertIsInstance(told, ClaimGranted)
+
+    def test_table_full(self) -> None:
+        """A full table refuses new claims and keeps the old ones."""
+        self._send('a3', 'k')
+        with mock.patch.object(table, 'MOST_ACCOUNT_RECORDS', 1):
+            told = self._answer_to(self._send('a3', 'k2'))
+        self.assertEqual(told.reason, RefusalReason.claim_table_full)
+        self.assertEqual(told.ran, Ran.no)
+
+    def test_large_answer(self) -> None:
+        """An answer that doesn't fit is reported as run, not kept."""
+        first = self._send('a3', 'k')
+        large = StoredAnswer(200, (), bytes(1000))
+        with mock.patch.object(table, 'MOST_ACCOUNT_BYTES', 1000):
+            self._complete('a3', first, large, Ran.yes)
+        told = self._answer_to(self._send('b0', 'k'))
+        self.assertEqual(told.reason, RefusalReason.answer_not_kept)
+
+    def test_records_expire(self) -> None:
+        """Records must not stay in memory for ever."""
+        first = self._send('a3', 'k')
+        self._complete('a3', first, _ANSWER, Ran.yes)
+        self.fleet.run_until(self.fleet.now + 620)
+        for vm in self.fleet.vms.values():
+            self.assertEqual(vm.parts[2].count_records(), (0, 0))
+
+
+def _count_wrong(callers: Callers) -> int:
+    return callers.second_grants + callers.second_runs + callers.false_answers
+
+
+def _find_wrong() -> bool:
+    """Return whether any seed goes wrong; stops at the first."""
+    return any(_count_wrong(run_faulty(seed)) for seed in range(_FAULT_SEEDS))
+
+
+def _lose_record_holders() -> int:
+    """Restart the two members that have a record; return second grants."""
+    fleet, callers = make_fleet(2)
+    fleet.run_until(OPEN_S)
+    fleet.cut('a0', 'a2')
+    for _ in range(2):
+        callers.send('b0', 'one', 'k')
+        fleet.run_until(fleet.now + 1)
+        fleet.heal()
+        fleet.restart('a0')
+        fleet.restart('a1')
+        fleet.run_until(fleet.now + 12)
+    return callers.second_grants
