Add the replicated configuration log

Cause: the configuration needs one order of changes that survives the loss of a minority of control VMs and their disks; control/ was empty.

--- /dev/null
+++ b/src/cranberryseam/control/messages.py
@@ -0,0 +1,245 @@
+"""Messages between control replicas.
+
+Every message names the disk it comes from and the disk it is for, because a
+VM that returns with an empty disk must not be taken for the replica whose
+promises were on the old disk.
+"""
+
+from __future__ import annotations
+
+from ..core.messages import Message
+from .records import Membership, Record
+
+_REQUEST_PRE_VOTE_TAG = 100
+_PRE_VOTE_REPLY_TAG = 101
+_REQUEST_VOTE_TAG = 102
+_VOTE_REPLY_TAG = 103
+_APPEND_REQUEST_TAG = 104
+_APPEND_REPLY_TAG = 105
+_INSTALL_SNAPSHOT_TAG = 106
+_SNAPSHOT_REPLY_TAG = 107
+_START_ELECTION_TAG = 108
+_DISK_QUERY_TAG = 109
+_DISK_REPORT_TAG = 110
+_FORM_GROUP_TAG = 111
+_FORM_REPLY_TAG = 112
+_BEGIN_ELECTIONS_TAG = 113
+
+
+class PeerMessage(Message, frozen=True, array_like=True):
+    """Base of the messages between members.
+
+    Parameters
+    ----------
+    term
+        Term of the sender.
+    disk, to_disk
+        Disk ids of sender and receiver.
+
+    """
+
+    term: int
+    disk: str
+    to_disk: str
+
+
+class RequestPreVote(
+    PeerMessage, frozen=True, array_like=True, tag=_REQUEST_PRE_VOTE_TAG
+):
+    """Ask whether an election in ``term`` could be won; changes no state."""
+
+    last_index: int
+    last_term: int
+
+
+class PreVoteReply(
+    PeerMessage, frozen=True, array_like=True, tag=_PRE_VOTE_REPLY_TAG
+):
+    """Reply to a pre-vote; ``term`` is the requested one if granted."""
+
+    granted: bool
+
+
+class RequestVote(
+    PeerMessage, frozen=True, array_like=True, tag=_REQUEST_VOTE_TAG
+):
+    """Ask for the vote of ``term``.
+
+    Parameters
+    ----------
+    transfer
+        The leader asked for this election, so its heartbeats don't count
+        against it.
+
+    """
+
+    last_index: int
+    last_term: int
+    transfer: bool = False
+
+
+class VoteReply(PeerMessage, frozen=True, array_like=True, tag=_VOTE_REPLY_TAG):
+    """A vote that is on disk, or a refusal."""
+
+    granted: bool
+
+
+class AppendRequest(
+    PeerMessage, frozen=True, array_like=True, tag=_APPEND_REQUEST_TAG
+):
+    """Records that follow a given one; without records it's a heartbeat.
+
+    Parameters
+    ----------
+    commit
+        Index up to which the leader knows records to be committed.
+    sent_at
+        Clock of the leader, returned in the reply.
+
+    """
+
+    previous_index: int
+    previous_term: int
+    commit: int
+    sent_at: float
+    records: tuple[Record, ...] = ()
+
+
+class AppendReply(
+    PeerMessage, frozen=True, array_like=True, tag=_APPEND_REPLY_TAG
+):
+    """What the follower has on disk.
+
+    Parameters
+    ----------
+    accepted
+        False if the term is old or the previous record is missing.
+    previous_index
+        Repeated from the request.
+    match_index
+        If accepted, the follower's log equals the leader's up to here;
+        else the last index worth trying.
+
+    """
+
+    accepted: bool
+    previous_index: int
+    match_index: int
+    sent_at: float
+
+
+class InstallSnapshot(
+    PeerMessage, frozen=True, array_like=True, tag=_INSTALL_SNAPSHOT_TAG
+):
+    """One chunk of an encoded snapshot.
+
+    Parameters
+    ----------
+    checksum
+        Of the whole encoded snapshot.
+
+    """
+
+    index: int
+    offset: int
+    total: int
+    checksum: int
+    sent_at: float
+    chunk: bytes
+
+
+class SnapshotReply(
+    PeerMessage, frozen=True, array_like=True, tag=_SNAPSHOT_REPLY_TAG
+):
+    """Offset from which the follower needs the snapshot."""
+
+    index: int
+    offset: int
+    sent_at: float
+
+
+class StartElection(
+    PeerMessage, frozen=True, array_like=True, tag=_START_ELECTION_TAG
+):
+    """The leader hands over its role to the receiver."""
+
+
+class DiskQuery(Message, frozen=True, array_like=True, tag=_DISK_QUERY_TAG):
+    """Ask a VM for the id and state of its disk."""
+
+
+class DiskReport(Message, frozen=True, array_like=True, tag=_DISK_REPORT_TAG):
+    """Id and state of the sender's disk.
+
+    Parameters
+    ----------
+    membership
+        The one in force on this disk; None while it's empty.
+    initialised
+        True once elections may have taken place.
+
+    """
+
+    disk: str
+    membership: Membership | None
+    initialised: bool
+
+
+class FormGroup(Message, frozen=True, array_like=True, tag=_FORM_GROUP_TAG):
+    """Store the first membership."""
+
+    membership: Membership
+    wall_s: float
+
+
+class FormReply(Message, frozen=True, array_like=True, tag=_FORM_REPLY_TAG):
+    """Whether the first membership of ``fleet`` is on disk."""
+
+    fleet: str
+    disk: str
+    accepted: bool
+
+
+class BeginElections(
+    Message, frozen=True, array_like=True, tag=_BEGIN_ELECTIONS_TAG
+):
+    """All members have stored the first membership of ``fleet``."""
+
+    fleet: str
+
+
+MESSAGES: tuple[type[Message], ...] = (
+    RequestPreVote,
+    PreVoteReply,
+    RequestVote,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    InstallSnapshot,
+    SnapshotReply,
+    StartElection,
+    DiskQuery,
+    DiskReport,
+    FormGroup,
+    FormReply,
+    BeginElections,
+)
+
+__all__ = (
+    'MESSAGES',
+    'AppendReply',
+    'AppendRequest',
+    'BeginElections',
+    'DiskQuery',
+    'DiskReport',
+    'FormGroup',
+    'FormReply',
+    'InstallSnapshot',
+    'PeerMessage',
+    'PreVoteReply',
+    'RequestPreVote',
+    'RequestVote',
+    'SnapshotReply',
+    'StartElection',
+    'VoteReply',
+)
--- /dev/null
+++ b/src/cranberryseam/control/proposals.py
@@ -0,0 +1,103 @@
+"""What a command does to the state at the end of the leader's log."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+import msgspec
+import xxhash
+
+from ..configuration.entries import (
+    AnyEntry,
+    KeyGranted,
+    KeyWithdrawn,
+    NothingChanged,
+    diff_lists,
+)
+from ..core.commands import (
+    ApplyLists,
+    GrantKey,
+    ReplaceReplica,
+    WithdrawKey,
+)
+from .machine import StateMachine
+from .records import Accepted, Conflicted, KeyTaken, NameUnknown
+
+KeyedCommand: TypeAlias = ApplyLists | GrantKey | WithdrawKey | ReplaceReplica
+
+
+@attrs.frozen
+class Proposal:
+    """Entry to log for a command, with its result.
+
+    A refused command is logged too: a copy of it that arrives later must not
+    succeed after the operator has seen the refusal.
+    """
+
+    entry: AnyEntry
+    outcome: Accepted | Conflicted | NameUnknown | KeyTaken
+
+
+def evaluate_command(command: KeyedCommand, tail: StateMachine) -> Proposal:
+    """Return what to log for a command.
+
+    Parameters
+    ----------
+    tail
+        State after all records of the leader's log; the record will follow
+        them, so the check holds when it's committed.
+
+    """
+    match command:
+        case ApplyLists():
+            return _apply_lists(command, tail)
+        case GrantKey():
+            return _grant_key(command, tail)
+        case WithdrawKey():
+            return _withdraw_key(command, tail)
+    return Proposal(NothingChanged(), Accepted())
+
+
+def hash_command(command: KeyedCommand) -> bytes:
+    """Return the fingerprint of a command."""
+    content = msgspec.msgpack.encode((type(command).__name__, command))
+    return xxhash.xxh3_128_digest(content)
+
+
+def _apply_lists(command: ApplyLists, tail: StateMachine) -> Proposal:
+    in_force = tail.configuration.lists_version
+    if command.based_on != in_force:
+        outcome = Conflicted(command.based_on, in_force)
+        return Proposal(NothingChanged(), outcome)
+    entry = diff_lists(tail.configuration, command.lists, command.command_key)
+    return Proposal(entry, Accepted())
+
+
+def _grant_key(command: GrantKey, tail: StateMachine) -> Proposal:
+    configuration = tail.configuration
+    known = command.key_id in configuration.keys
+    withdrawn = command.key_id in configuration.withdrawn
+    if known or withdrawn or command.key_hash in tail.key_hashes:
+        return Proposal(NothingChanged(), KeyTaken(command.key_id))
+    if command.account not in configuration.accounts:
+        unknown = NameUnknown('account', command.account)
+        return Proposal(NothingChanged(), unknown)
+    entry = KeyGranted(
+        command.command_key, command.key_id, command.account, command.key_hash
+    )
+    return Proposal(entry, Accepted())
+
+
+def _withdraw_key(command: WithdrawKey, tail: StateMachine) -> Proposal:
+    configuration = tail.configuration
+    if command.key_id in configuration.withdrawn:
+        return Proposal(NothingChanged(), Accepted())
+    if command.key_id not in configuration.keys:
+        unknown = NameUnknown('key', command.key_id)
+        return Proposal(NothingChanged(), unknown)
+    entry = KeyWithdrawn(command.command_key, command.key_id)
+    return Proposal(entry, Accepted())
+
+
+__all__ = ('KeyedCommand', 'Proposal', 'evaluate_command', 'hash_command')
--- /dev/null
+++ b/src/cranberryseam/control/records.py
@@ -0,0 +1,217 @@
+"""Records of the control log, membership, and what a disk holds."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..configuration.entries import AnyEntry
+from ..configuration.model import Account, Key, Plan, Route, Service
+from ..core.commands import (
+    CommandAnswer,
+    KeyExists,
+    UnknownName,
+    VersionConflict,
+)
+from ..core.errors import Failure
+from ..types import KeyId
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A disk that takes part in the log; learners don't vote."""
+
+    vm: str
+    disk: str
+    voter: bool = True
+
+
+class Replacement(msgspec.Struct, frozen=True, array_like=True):
+    """A replacement that isn't complete.
+
+    Parameters
+    ----------
+    lost
+        Disk id to remove; empty once it's removed.
+    added
+        Disk id of the learner that becomes a voter.
+
+    """
+
+    lost: str
+    added: str
+    command_key: str
+
+
+class Membership(msgspec.Struct, frozen=True, array_like=True):
+    """Members of the log from one record on.
+
+    Parameters
+    ----------
+    fleet
+        Identifies the log; computed from the first disk ids.
+
+    """
+
+    members: tuple[Member, ...] = ()
+    fleet: str = ''
+    replacing: Replacement | None = None
+
+    @property
+    def voters(self) -> frozenset[str]:
+        """Disk ids that vote and count."""
+        return frozenset(member.disk for member in self.members if member.voter)
+
+    def find(self, disk: str) -> Member | None:
+        """Return the member with a disk id."""
+        for member in self.members:
+            if member.disk == disk:
+                return member
+        return None
+
+    def is_quorum(self, disks: set[str]) -> bool:
+        """Return whether the disks include a majority of the voters."""
+        voters = self.voters
+        return len(voters & disks) * 2 > len(voters)
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True):
+    """Base of the results that are kept per command key."""
+
+    def answer(self, index: int) -> CommandAnswer | Failure:
+        """Return the answer for the operator."""
+        return CommandAnswer(index)
+
+
+class Accepted(Outcome, frozen=True, array_like=True, tag=1):
+    """The command took effect."""
+
+
+class Conflicted(Outcome, frozen=True, array_like=True, tag=2):
+    """The lists were based on another version."""
+
+    based_on: int
+    in_force: int
+
+    def answer(self, index: int) -> CommandAnswer | Failure:
+        """Return the conflict."""
+        return VersionConflict(self.based_on, self.in_force)
+
+
+class NameUnknown(Outcome, frozen=True, array_like=True, tag=3):
+    """The command named something that didn't exist."""
+
+    kind: str
+    name: str
+
+    def answer(self, index: int) -> CommandAnswer | Failure:
+        """Return what is unknown."""
+        return UnknownName(self.kind, self.name)
+
+
+class KeyTaken(Outcome, frozen=True, array_like=True, tag=4):
+    """The key id or hash had been granted."""
+
+    key_id: KeyId
+
+    def answer(self, index: int) -> CommandAnswer | Failure:
+        """Return the key."""
+        return KeyExists(self.key_id)
+
+
+class CommandResult(msgspec.Struct, frozen=True, array_like=True):
+    """First result of a command key.
+
+    Parameters
+    ----------
+    fingerprint
+        Hash of the command.
+    index
+        Record that holds the result.
+
+    """
+
+    command_key: str
+    fingerprint: bytes
+    outcome: Accepted | Conflicted | NameUnknown | KeyTaken
+    index: int
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One slot of the log."""
+
+    index: int
+    term: int
+    entry: AnyEntry
+    result: CommandResult | None = None
+    membership: Membership | None = None
+
+
+class StoredConfiguration(msgspec.Struct, frozen=True, array_like=True):
+    """Configuration in a snapshot."""
+
+    version: int = 0
+    lists_version: int = 0
+    initialised_wall_s: float = 0
+    accounts: tuple[Account, ...] = ()
+    plans: tuple[Plan, ...] = ()
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    keys: tuple[Key, ...] = ()
+    withdrawn: tuple[KeyId, ...] = ()
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """Result of all records up to an index."""
+
+    index: int
+    term: int
+    membership: Membership
+    configuration: StoredConfiguration
+    results: tuple[CommandResult, ...] = ()
+
+
+class LogBase(msgspec.Struct, frozen=True, array_like=True):
+    """Index and term of the record before the first one kept."""
+
+    index: int = 0
+    term: int = 0
+
+
+class StoredState(msgspec.Struct, frozen=True):
+    """What one disk holds.
+
+    Parameters
+    ----------
+    disk
+        Random id, drawn when the disk was first used.
+    voted_for
+        Disk id that got the vote of ``term``; empty if none.
+    commit
+        Index known to be committed when the last records were written.
+
+    """
+
+    disk: str
+    term: int = 0
+    voted_for: str = ''
+    commit: int = 0
+    snapshot: Snapshot | None = None
+    base: LogBase = LogBase()
+    records: tuple[Record, ...] = ()
+
+
+__all__ = (
+    'Accepted',
+    'CommandResult',
+    'Conflicted',
+    'KeyTaken',
+    'LogBase',
+    'Member',
+    'Membership',
+    'NameUnknown',
+    'Outcome',
+    'Record',
+    'Replacement',
+    'Snapshot',
+    'StoredConfiguration',
+    'StoredState',
+)
--- a/src/cranberryseam/core/commands.py
+++ b/src/cranberryseam/core/commands.py
@@ -179,6 +179,30 @@
     """The command may or may not be committed; send it again."""
 
 
+@attrs.frozen
+class ReplicaUnusable(Failure):
+    """A control replica can't be used for what the command asks.
+
+    Parameters
+    ----------
+    vm
+        The replica.
+    reason
+        What was found and what was expected.
+
+    """
+
+    vm: VmId
+    reason: str
+
+
+@attrs.frozen
+class ReplacementInProgress(Failure):
+    """Another replica is being replaced; only one change runs at a time."""
+
+    added: VmId
+
+
 @attrs.frozen
 class CommandUnsupported(Failure):
     """This VM doesn't have the role that the command needs."""
@@ -201,6 +225,8 @@
     'NotLeader',
     'OutcomeUnknown',
     'ReplaceReplica',
+    'ReplacementInProgress',
+    'ReplicaUnusable',
     'ShowControl',
     'ShowFleet',
     'ShowLists',
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -31,6 +31,16 @@
     entry: Entry
 
 
+@attrs.frozen
+class SnapshotInstalled(Notice):
+    """The control log continues after ``configuration.version``.
+
+    It replaces the ``EntryCommitted`` of all versions up to that one.
+    """
+
+    configuration: Configuration
+
+
 @attrs.frozen
 class ConfigurationChanged(Notice):
     """A newer configuration is in force on this VM."""
@@ -179,6 +189,7 @@
     'RoundTripCompleted',
     'SlotAssigned',
     'SlotDenied',
+    'SnapshotInstalled',
     'TargetChanged',
     'TokenDenied',
     'TokenGranted',
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated configuration log."""
