Test the files of a control replica

Cause: a replica that loses or invents records after a crash breaks the promises that consensus relies on. Conclusion: damage before the end is refused. A damaged last batch can't be told from a torn one and is cut off.

--- /dev/null
+++ b/tests/control/test_storage.py
@@ -0,0 +1,149 @@
+"""Tests of the files of a control replica."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import testtools
+from expression import Result
+from parameterized import parameterized
+
+from cranberryseam.configuration.entries import KeyWithdrawn
+from cranberryseam.control import (
+    FolderInUse,
+    StorageDamaged,
+    StoredState,
+    open_storage,
+)
+from cranberryseam.control.effects import (
+    AppendRecords,
+    SaveSnapshot,
+    SaveVote,
+    StorageEffect,
+)
+from cranberryseam.control.records import (
+    LogBase,
+    Member,
+    Membership,
+    Record,
+    Snapshot,
+    StoredConfiguration,
+)
+
+from .simulation import write_disk
+
+MEMBERSHIP = Membership((Member('a', 'x'),), 'fleet')
+
+
+def make_records(first: int, last: int, term: int = 1) -> tuple[Record, ...]:
+    """Return records with different content."""
+    return tuple(
+        Record(index, term, KeyWithdrawn(f'k{index}', f'id{term}'))
+        for index in range(first, last + 1)
+    )
+
+
+def make_snapshot(index: int, term: int = 1) -> Snapshot:
+    """Return a snapshot."""
+    return Snapshot(index, term, MEMBERSHIP, StoredConfiguration(index))
+
+
+EFFECTS = (
+    SaveSnapshot(1, make_snapshot(0, 0), LogBase(), ()),
+    SaveVote(2, 3, 'x'),
+    AppendRecords(3, make_records(1, 2), 0),
+    AppendRecords(4, make_records(3, 5), 2),
+    AppendRecords(5, make_records(4, 4, 2), 2),
+    SaveSnapshot(6, make_snapshot(3), LogBase(1, 1), make_records(2, 3)),
+    AppendRecords(7, make_records(4, 6, 2), 3),
+    SaveSnapshot(8, make_snapshot(9, 3), LogBase(9, 3), ()),
+    AppendRecords(9, make_records(10, 12, 3), 9),
+)
+
+
+class StorageTest(testtools.TestCase):
+    """Guards against losing or inventing records after a crash."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def load(self) -> Result:
+        """Open the folder as a new process does."""
+        with open_storage(self.folder) as opened:
+            return opened.ok.load()
+
+    def execute(self, *effects: StorageEffect) -> None:
+        """Load, then execute effects."""
+        with open_storage(self.folder) as opened:
+            opened.ok.load()
+            for effect in effects:
+                self.assertEqual(opened.ok.execute(effect), effect.sync_id)
+
+    def test_restart_after_each_effect(self) -> None:
+        expected = StoredState(self.load().ok.disk)
+        for effect in EFFECTS:
+            self.execute(effect)
+            expected = write_disk(expected, effect)
+            self.assertEqual(self.load().ok, expected)
+
+    def test_torn_at_every_byte(self) -> None:
+        self.execute(*EFFECTS[:3])
+        before = self.load().ok
+        log = self.folder / 'log'
+        start = log.stat().st_size
+        self.execute(EFFECTS[3])
+        whole = log.read_bytes()
+        for length in range(start, len(whole)):
+            log.write_bytes(whole[:length])
+            self.assertEqual(self.load().ok, before)
+            self.assertEqual(log.stat().st_size, start)
+            log.write_bytes(whole[:length] + bytes(len(whole) - length))
+            if whole[length:].strip(b'\0'):
+                self.assertEqual(self.load().ok, before)
+
+    def test_damage_at_every_byte_before_the_end(self) -> None:
+        self.execute(*EFFECTS[:4])
+        log = self.folder / 'log'
+        whole = log.read_bytes()
+        self.execute(EFFECTS[4])
+        full = log.read_bytes()
+        for offset in range(len(whole)):
+            damaged = bytearray(full)
+            damaged[offset] ^= 0x41
+            log.write_bytes(damaged)
+            self.assertIsInstance(self.load().error, StorageDamaged)
+
+    @parameterized.expand([('disk',), ('vote',), ('snapshot',)])
+    def test_damaged_file(self, name: str) -> None:
+        self.execute(*EFFECTS)
+        path = self.folder / name
+        content = bytearray(path.read_bytes())
+        content[-1] ^= 1
+        path.write_bytes(content)
+        self.assertIsInstance(self.load().error, StorageDamaged)
+
+    def test_missing_disk_id(self) -> None:
+        """A new disk id beside old promises would be a second replica."""
+        self.execute(*EFFECTS)
+        (self.folder / 'disk').unlink()
+        self.assertIsInstance(self.load().error, StorageDamaged)
+
+    def test_crash_between_snapshot_and_log(self) -> None:
+        self.execute(*EFFECTS[:7])
+        old_log = (self.folder / 'log').read_bytes()
+        self.execute(EFFECTS[7])
+        (self.folder / 'log').write_bytes(old_log)
+        state = self.load().ok
+        self.assertEqual(state.snapshot, make_snapshot(9, 3))
+        self.assertEqual((state.base, state.records), (LogBase(9, 3), ()))
+        # The base of the log must survive the next append and restart.
+        self.execute(EFFECTS[8])
+        self.assertEqual(self.load().ok.records, EFFECTS[8].records)
+
+    def test_two_processes(self) -> None:
+        with open_storage(self.folder), open_storage(self.folder) as second:
+            self.assertIsInstance(second.error, FolderInUse)
