--- /dev/null
+++ b/tests/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests."""
