Explore a specification of the control log exhaustively

Cause: random schedules of the code say little about rare interleavings. Change: a small model of elections, append, commit, crash, lost disk and replacement is walked breadth first; messages may be lost, late, reordered or repeated. Three seeded faults in the model must be found. Figures: 3 VMs, 2 terms, 2 records and 1 crash: 15,519 states; 3 VMs, 2 terms, 3 records and 1 lost disk with replacement: 43,655 states; no violation. Conclusion: within these bounds no acknowledged record is lost and no slot has two values.

--- /dev/null
+++ b/tests/properties/test_control_specification.py
@@ -0,0 +1,45 @@
+"""Exhaustive walk over the specification of the control log."""
+
+from __future__ import annotations
+
+import testtools
+from parameterized import parameterized
+
+from ..control.specification import (
+    Bounds,
+    State,
+    ViolationError,
+    Vm,
+    explore,
+)
+
+THREE_VMS = State(tuple(Vm(disk) for disk in range(3)))
+
+
+class SpecificationTest(testtools.TestCase):
+    """Guards against a protocol that is wrong however it's implemented."""
+
+    @parameterized.expand(
+        [
+            ('crash', Bounds(terms=2, length=2, crashes=1, lost=0), 15_519),
+            (
+                'lost_disk_and_replacement',
+                Bounds(terms=2, length=3, crashes=0, lost=1, values=False),
+                43_655,
+            ),
+        ]
+    )
+    def test_all_interleavings(self, _name, bounds, states) -> None:
+        # The number shows that no action has silently become impossible.
+        self.assertEqual(explore(THREE_VMS, bounds), states)
+
+    @parameterized.expand(
+        [
+            ('vote without sync', 2, 1, 0),
+            ('replaced disk votes', 2, 0, 1),
+            ('two changes', 3, 0, 1),
+        ]
+    )
+    def test_seeded_fault(self, fault, length, crashes, lost) -> None:
+        bounds = Bounds(2, length, crashes, lost, values=False, fault=fault)
+        self.assertRaises(ViolationError, explore, THREE_VMS, bounds)
