Stop copying the log at each append

Cause: Log.truncate copied the list of records at every append. Change: it deletes the end of the list in place. Conclusion: an append no longer costs more with a longer log.

--- a/src/cranberryseam/control/log.py
+++ b/src/cranberryseam/control/log.py
@@ -101,8 +101,8 @@
     def truncate(self, last_index: int) -> None:
         """Drop all records after an index."""
         kept = last_index - self.base.index
-        self._records = self._records[:kept]
-        self._sizes = self._sizes[:kept]
+        del self._records[kept:]  # noqa: WPS420 - copying is slow
+        del self._sizes[kept:]  # noqa: WPS420 - copying is slow
         while self._memberships[-1][0] > last_index:
             self._memberships.pop()
 
