--- a/benchmarks/claim_schedules.py
+++ b/benchmarks/claim_schedules.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from multiprocessing import Pool
 
-from idempotency.schedules import run_faulty
+from tests.idempotency.schedules import run_faulty
 
 
 def _run(seed: int) -> tuple[int, int, int, Counter[str], float]:
--- a/benchmarks/limits_schedules.py
+++ b/benchmarks/limits_schedules.py
@@ -9,7 +9,7 @@
 import sys
 from multiprocessing import Pool
 
-from limits.schedules import run_faulty, run_healthy, sum_results
+from tests.limits.schedules import run_faulty, run_healthy, sum_results
 
 _LOADS = {'small': 1.5, 'large': 14.0, 'shared': 12.0, 'remote': 7.0}
 _HEALTHY = 20
--- a/benchmarks/ownership_state.py
+++ b/benchmarks/ownership_state.py
@@ -10,10 +10,6 @@
 import tracemalloc
 from collections.abc import Callable
 
-from idempotency.schedules import make_fleet as make_claim_fleet
-from limits.schedules import make_fleet
-from ownership.fleet import OPEN_S
-
 from cranberryseam import idempotency, limits, ownership
 from cranberryseam.configuration.model import Account, Configuration, Plan
 from cranberryseam.configuration.settings import (
@@ -40,6 +36,9 @@
 from cranberryseam.ownership.groups import GroupIndex
 from cranberryseam.ownership.messages import LeaseAsked, LeaseGiven
 from cranberryseam.types import AccountId, RequestId, VmId
+from tests.idempotency.schedules import make_fleet as make_claim_fleet
+from tests.limits.schedules import make_fleet
+from tests.ownership.fleet import OPEN_S
 
 _COUNT = 10_000
 _RUN = 1_700_000_000_000_000 << 12
--- a/tests/idempotency/schedules.py
+++ b/tests/idempotency/schedules.py
@@ -5,7 +5,6 @@
 from collections import Counter, defaultdict
 
 import attrs
-from ownership.fleet import OPEN_S, Fleet
 
 from cranberryseam.configuration.model import Account, Plan
 from cranberryseam.core import events
@@ -17,6 +16,7 @@
 )
 from cranberryseam.core.refusals import Ran
 from cranberryseam.types import AccountId, RequestId
+from tests.ownership.fleet import OPEN_S, Fleet
 
 ACCOUNTS = (
     Account(AccountId('one'), 'plan', 'a'),
--- a/tests/idempotency/test_part.py
+++ b/tests/idempotency/test_part.py
@@ -6,7 +6,6 @@
 
 import attrs
 import testtools
-from ownership.fleet import OPEN_S
 from parameterized import parameterized
 
 from cranberryseam.core.events import StoredAnswer
@@ -23,6 +22,7 @@
 from cranberryseam.idempotency.records import Record, State, Verdict
 from cranberryseam.idempotency.replica import Replica
 from cranberryseam.types import AccountId, Output, RequestId
+from tests.ownership.fleet import OPEN_S
 
 from .schedules import Callers, make_fleet, run_faulty, run_healthy
 
--- a/tests/limits/schedules.py
+++ b/tests/limits/schedules.py
@@ -6,12 +6,12 @@
 from collections import Counter, defaultdict
 
 import attrs
-from ownership.fleet import OPEN_S, Fleet
 
 from cranberryseam.configuration.model import Account, Plan
 from cranberryseam.core import events
 from cranberryseam.core.notices import Notice, TokenDenied, TokenGranted
 from cranberryseam.types import AccountId
+from tests.ownership.fleet import OPEN_S, Fleet
 
 # Rounding of a few hundred additions.
 _TOLERANCE = 1e-6
--- a/tests/limits/test_part.py
+++ b/tests/limits/test_part.py
@@ -7,7 +7,6 @@
 
 import attrs
 import testtools
-from ownership.fleet import OPEN_S
 from parameterized import parameterized
 
 from cranberryseam.configuration.model import Account, Configuration
@@ -19,6 +18,7 @@
 from cranberryseam.limits.entry import TokenClient
 from cranberryseam.limits.messages import TokensGiven
 from cranberryseam.types import Output
+from tests.ownership.fleet import OPEN_S
 
 from .schedules import (
     PLANS,
