Add the key table with its freshness limit

Cause: a withdrawn key must stop working within 5 s, also on a VM that hears from nobody, and exactly one part may decide on readiness. Change: keys/ looks keys up by hash, counts freshness from the sending of the newest answered ping (with isolation 'region' also from a majority of regions) and owns SetReadiness: ready means a configuration in force, fresh keys and no request to stop. Notice SnapshotInstalled is new in core. Conclusion: lookup is one dictionary access; a grant adds one entry to the index instead of building it anew.

--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -31,6 +31,13 @@
     entry: Entry
 
 
+@attrs.frozen
+class SnapshotInstalled(Notice):
+    """The control replica replaced its state by a whole configuration."""
+
+    configuration: Configuration
+
+
 @attrs.frozen
 class ConfigurationChanged(Notice):
     """A newer configuration is in force on this VM."""
@@ -179,6 +186,7 @@
     'RoundTripCompleted',
     'SlotAssigned',
     'SlotDenied',
+    'SnapshotInstalled',
     'TargetChanged',
     'TokenDenied',
     'TokenGranted',
--- /dev/null
+++ b/src/cranberryseam/keys/table.py
@@ -0,0 +1,151 @@
+"""Keys of callers: whose they are, and whether they may be used."""
+
+from __future__ import annotations
+
+import math
+from functools import singledispatchmethod
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from ..core.commands import DrainVm
+from ..core.effects import SetReadiness, SetTimer
+from ..core.events import CommandReceived, Event, StopRequested
+from ..core.notices import (
+    ConfigurationChanged,
+    KeysWithdrawn,
+    Notice,
+    RegionsHeard,
+    RoundTripCompleted,
+)
+from ..core.refusals import Refusal, RefusalReason
+from ..types import AccountId
+from .freshness import Freshness
+
+if TYPE_CHECKING:
+    from ..configuration.model import Configuration, Key
+    from ..configuration.settings import Settings
+    from ..types import KeyId, Output
+
+PART = 'keys'
+_EXPIRY = 'expiry'
+# A VM that is stale or has just started is usually back after one round trip.
+_RETRY_AFTER_S = 1.0
+
+
+class KeyTable:
+    """Looks up keys by hash, and owns the readiness of this VM.
+
+    The VM is ready while it has a configuration, its keys are fresh, and it
+    was not asked to stop. No other part emits ``SetReadiness``.
+
+    Parameters
+    ----------
+    settings
+        Freshness limit, isolation rule and peers.
+
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Start without a configuration: not ready."""
+        self._freshness = Freshness(settings)
+        self._by_hash: dict[bytes, Key] = {}
+        self._withdrawn: set[KeyId] = set()
+        self._configuration: Configuration | None = None
+        self._stopping = False
+        self._ready = False
+
+    def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
+        """Return the account of a key that may be used now."""
+        configuration = self._configuration
+        if configuration is None:
+            return _refuse(RefusalReason.not_ready, _RETRY_AFTER_S)
+        if at >= self._freshness.ends_at():
+            return _refuse(RefusalReason.keys_stale, _RETRY_AFTER_S)
+        key = self._by_hash.get(key_hash)
+        if key is None:
+            return _refuse(RefusalReason.key_unknown)
+        if self._is_withdrawn(key.key_id, configuration):
+            return _refuse(RefusalReason.key_withdrawn)
+        return Ok(key.account)
+
+    def handle(self, event: Event | Notice) -> list[Output]:
+        """Apply one event or notice."""
+        outputs: list[Output] = []
+        self._apply(event)
+        if isinstance(event, RoundTripCompleted | RegionsHeard):
+            outputs.extend(self._watch_expiry())
+        ready = self._is_ready(event.at)
+        if ready != self._ready:
+            self._ready = ready
+            outputs.append(SetReadiness(ready))
+        return outputs
+
+    @singledispatchmethod
+    def _apply(self, event: Event | Notice) -> None:
+        """Ignore what belongs to other parts."""
+
+    @_apply.register
+    def _stop(self, event: StopRequested) -> None:
+        self._stopping = True
+
+    @_apply.register
+    def _drain(self, event: CommandReceived) -> None:
+        self._stopping |= isinstance(event.command, DrainVm)
+
+    @_apply.register
+    def _configure(self, notice: ConfigurationChanged) -> None:
+        configuration = notice.configuration
+        self._configuration = configuration
+        self._index(configuration)
+        self._withdrawn -= configuration.withdrawn
+
+    @_apply.register
+    def _withdraw(self, notice: KeysWithdrawn) -> None:
+        self._withdrawn.update(notice.key_ids)
+
+    @_apply.register
+    def _complete(self, notice: RoundTripCompleted) -> None:
+        self._freshness.take_round_trip(notice)
+
+    @_apply.register
+    def _hear_regions(self, notice: RegionsHeard) -> None:
+        self._freshness.take_regions(notice)
+
+    def _watch_expiry(self) -> list[Output]:
+        ends_at = self._freshness.ends_at()
+        if not math.isfinite(ends_at):
+            return []
+        return [SetTimer(PART, _EXPIRY, ends_at)]
+
+    def _is_ready(self, at: float) -> bool:
+        return (
+            self._configuration is not None
+            and not self._stopping
+            and at < self._freshness.ends_at()
+        )
+
+    def _is_withdrawn(
+        self, key_id: KeyId, configuration: Configuration
+    ) -> bool:
+        return key_id in self._withdrawn or key_id in configuration.withdrawn
+
+    def _index(self, configuration: Configuration) -> None:
+        # Keys are never removed, and new ones are appended to the mapping, so
+        # that a grant costs one step instead of 54,000.
+        keys = configuration.keys
+        missing = max(len(keys) - len(self._by_hash), 0)
+        newest = islice(reversed(list(keys.values())), missing)
+        self._by_hash.update((key.key_hash, key) for key in newest)
+        if len(self._by_hash) != len(keys):
+            self._by_hash = {key.key_hash: key for key in keys.values()}
+
+
+def _refuse(
+    reason: RefusalReason, retry_after_s: float | None = None
+) -> Result[AccountId, Refusal]:
+    return Error(Refusal(reason, retry_after_s=retry_after_s))
+
+
+__all__ = ('KeyTable',)
