Add gossip of members, configuration, withdrawals and targets

Cause: each VM needs the configuration in force, the withdrawn keys, the live VMs and the targets without a central list, within 2 KB/s. Change: fleet/ pings one VM of its region per second (retry and indirect ping after 0.4 s, suspicion, incarnations), pushes changes at once to three VMs and lets whoever is behind pull recent changes with the next acknowledgement; older differences are found by digests of 128 buckets. Deaths told by others start as suspicion, so a healed partition kills no live VM. Targets are vouched for by the VM that got the announcement; renewals without a change stay off the gossip.

--- a/src/cranberryseam/fleet/__init__.py
+++ b/src/cranberryseam/fleet/__init__.py
@@ -1,1 +1,21 @@
-"""Membership gossip and distribution of configuration."""
+"""Membership and everything that spreads by gossip."""
+
+from __future__ import annotations
+
+from .announcements import (
+    AnnouncementOutdated,
+    ConfigurationMissing,
+    ServiceUnknown,
+    TargetKeyRefused,
+)
+from .gossip import Gossip
+from .messages import MESSAGES
+
+__all__ = (
+    'MESSAGES',
+    'AnnouncementOutdated',
+    'ConfigurationMissing',
+    'Gossip',
+    'ServiceUnknown',
+    'TargetKeyRefused',
+)
--- /dev/null
+++ b/src/cranberryseam/fleet/members.py
@@ -0,0 +1,287 @@
+"""Table of the VMs of the fleet."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..core.effects import RegisterPeer
+from ..core.notices import MemberChanged, MemberStatus
+from ..types import VmId
+from .digest import BucketDigest, hash_words
+from .messages import MemberRecord
+
+if TYPE_CHECKING:
+    from ..configuration.settings import PeerSettings, Settings
+    from .outbox import Outbox
+
+ALIVE = 0
+SUSPECT = 1
+DEAD = 2
+LEFT = 3
+STATUSES = (
+    MemberStatus.alive,
+    MemberStatus.suspect,
+    MemberStatus.dead,
+    MemberStatus.left,
+)
+RELAYS_PER_REGION = 2
+# A refutation takes two messages; this leaves room for a lost one.
+REFUTE_S = 1.0
+# Longer than any gossip round, so that no peer brings a forgotten VM back.
+FORGET_S = 600.0
+
+
+@attrs.define
+class Member:
+    """Another VM.
+
+    Parameters
+    ----------
+    changed_at
+        Time of the last change of its record.
+    knows_me
+        True once it acknowledged a ping, so it has the address of this VM.
+
+    """
+
+    record: MemberRecord
+    changed_at: float
+    knows_me: bool = False
+
+    @property
+    def vm(self) -> VmId:
+        """Name as an identifier."""
+        return VmId(self.record.name)
+
+    @property
+    def is_live(self) -> bool:
+        """True while alive or only suspected."""
+        return self.record.status <= SUSPECT
+
+
+class MemberTable:
+    """Records of all known VMs, merged by (incarnation, status).
+
+    Parameters
+    ----------
+    settings
+        Settings of this VM; its peers are addresses to try, not members,
+        until they were heard of.
+
+    """
+
+    def __init__(self, settings: Settings, outbox: Outbox) -> None:
+        """Start with no other member."""
+        self._outbox = outbox
+        vm = settings.vm
+        self.me = MemberRecord(
+            name=vm.name,
+            address=settings.addresses.peers,
+            region=vm.region,
+            data_centre=vm.data_centre,
+            roles=vm.roles,
+            incarnation=0,
+            status=ALIVE,
+        )
+        self.seeds: dict[VmId, PeerSettings] = {
+            VmId(peer.name): peer
+            for peer in settings.peers
+            if peer.name != vm.name
+        }
+        self.members: dict[VmId, Member] = {}
+        self.digest = BucketDigest()
+        self._live: dict[str, list[VmId]] = {}
+
+    @property
+    def my_vm(self) -> VmId:
+        """Identifier of this VM."""
+        return VmId(self.me.name)
+
+    def find(self, name: str) -> MemberRecord | None:
+        """Return the record of a VM, this one included."""
+        if name == self.me.name:
+            return self.me
+        member = self.members.get(VmId(name))
+        return member.record if member else None
+
+    def start(self, incarnation: int) -> None:
+        """Set the first incarnation and register the peers' addresses."""
+        self._replace_me(incarnation, ALIVE)
+        for vm, seed in self.seeds.items():
+            self._outbox.add(RegisterPeer(vm, seed.address))
+
+    def leave(self) -> None:
+        """Mark this VM as stopping."""
+        self._replace_me(self.me.incarnation, LEFT)
+
+    def merge(self, record: MemberRecord) -> bool:
+        """Take a record if it is newer; return whether it was.
+
+        A newer record of this VM itself is refuted: the result is a record of
+        a higher incarnation in ``me``.
+        """
+        if record.name == self.me.name:
+            return self._refute(record)
+        member = self.members.get(VmId(record.name))
+        if member is None:
+            return self._add(record)
+        return self._take(member, self._soften(member, record))
+
+    def judge(self, vm: VmId, status: int) -> bool:
+        """Raise the status of a member within its incarnation."""
+        member = self.members.get(vm)
+        if member is None:
+            return False
+        return self._take(member, _with_status(member.record, status))
+
+    def live_in(self, region: str) -> list[VmId]:
+        """Return the live other members of a region, sorted by name."""
+        live = self._live.get(region)
+        if live is None:
+            live = sorted(
+                vm
+                for vm, member in self.members.items()
+                if member.is_live and member.record.region == region
+            )
+            self._live[region] = live
+        return live
+
+    def other_regions(self) -> list[str]:
+        """Return the regions of the members, without the own one."""
+        regions = {member.record.region for member in self.members.values()}
+        return sorted(regions - {self.me.region})
+
+    def live(self) -> list[Member]:
+        """Return all live other members."""
+        return [member for member in self.members.values() if member.is_live]
+
+    def relays_of(self, region: str) -> list[VmId]:
+        """Return the region relays in the view of this VM."""
+        names = [
+            vm
+            for vm in self.live_in(region)
+            if 'entry' in self.members[vm].record.roles
+        ]
+        me = self.me
+        if region == me.region and 'entry' in me.roles and me.status == ALIVE:
+            names.append(self.my_vm)
+        return heapq.nsmallest(RELAYS_PER_REGION, names)
+
+    def is_relay(self) -> bool:
+        """Return whether this VM exchanges with other regions.
+
+        A VM that knows no live entry VM of its region does it, too.
+        """
+        relays = self.relays_of(self.me.region)
+        return not relays or self.my_vm in relays
+
+    def forget_old(self) -> list[VmId]:
+        """Remove and return members that have been gone for a long time."""
+        old = [
+            vm
+            for vm, member in self.members.items()
+            if not member.is_live
+            and self._outbox.at - member.changed_at > FORGET_S
+        ]
+        for vm in old:
+            self.members.pop(vm)
+            self.digest.remove(vm)
+        return old
+
+    def _soften(self, member: Member, record: MemberRecord) -> MemberRecord:
+        # What another VM concluded during a partition must not make a live VM
+        # dead here: it becomes suspect first and is told, so it can refute.
+        suspected_s = self._outbox.at - member.changed_at
+        is_suspect = member.record.status == SUSPECT
+        if record.status != DEAD or not member.is_live:
+            return record
+        if is_suspect and suspected_s >= REFUTE_S:
+            return record
+        return _with_status(record, SUSPECT)
+
+    def _take(self, member: Member, record: MemberRecord) -> bool:
+        if _rank(record) <= _rank(member.record):
+            return False
+        self._replace(member, record)
+        return True
+
+    def _add(self, record: MemberRecord) -> bool:
+        if record.status >= DEAD:
+            return False
+        member = Member(record, self._outbox.at)
+        self.members[member.vm] = member
+        self._outbox.add(RegisterPeer(member.vm, record.address))
+        self._note_change(member)
+        return True
+
+    def _replace(self, member: Member, record: MemberRecord) -> None:
+        before = member.record
+        member.record = record
+        member.changed_at = self._outbox.at
+        if record.address != before.address:
+            self._outbox.add(RegisterPeer(member.vm, record.address))
+        if record.incarnation != before.incarnation:
+            member.knows_me = False
+        self._note_change(member, silent=record.status == before.status)
+
+    def _note_change(self, member: Member, *, silent: bool = False) -> None:
+        record = member.record
+        self._live.pop(record.region, None)
+        self.digest.replace(record.name, _hash_record(record))
+        if not silent:
+            status = STATUSES[record.status]
+            self._outbox.add(
+                MemberChanged(self._outbox.at, member.vm, record.region, status)
+            )
+
+    def _refute(self, record: MemberRecord) -> bool:
+        if _rank(record) <= _rank(self.me):
+            return False
+        self._outbox.count('refuted')
+        self._replace_me(record.incarnation + 1, self.me.status)
+        return True
+
+    def _replace_me(self, incarnation: int, status: int) -> None:
+        self.me = _with_status(self.me, status, incarnation)
+        self.digest.replace(self.me.name, _hash_record(self.me))
+
+
+def _rank(record: MemberRecord) -> tuple[int, int]:
+    return record.incarnation, record.status
+
+
+def _with_status(
+    record: MemberRecord, status: int, incarnation: int | None = None
+) -> MemberRecord:
+    return MemberRecord(
+        name=record.name,
+        address=record.address,
+        region=record.region,
+        data_centre=record.data_centre,
+        roles=record.roles,
+        incarnation=(
+            record.incarnation if incarnation is None else incarnation
+        ),
+        status=status,
+    )
+
+
+def _hash_record(record: MemberRecord) -> int:
+    # Gone VMs are left out: some VMs have already forgotten them.
+    if record.status >= DEAD:
+        return 0
+    return hash_words(record.name, record.incarnation, record.status)
+
+
+__all__ = (
+    'ALIVE',
+    'DEAD',
+    'LEFT',
+    'STATUSES',
+    'SUSPECT',
+    'Member',
+    'MemberTable',
+)
--- /dev/null
+++ b/src/cranberryseam/fleet/outbox.py
@@ -0,0 +1,47 @@
+"""Outputs of one event."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.effects import IncrementCounter, SendMessage, SetTimer
+
+if TYPE_CHECKING:
+    from ..core.messages import Message
+    from ..types import Output, VmId
+
+PART = 'fleet'
+
+
+class Outbox:
+    """Collects outputs in order; ``at`` is the time of the event."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.at: float = 0
+        self._outputs: list[Output] = []
+
+    def add(self, output: Output) -> None:
+        """Append an effect or a notice."""
+        self._outputs.append(output)
+
+    def send(self, to: VmId, message: Message) -> None:
+        """Append a message to a VM."""
+        self._outputs.append(SendMessage(to, message))
+
+    def set_timer(self, name: str, delay_s: float) -> None:
+        """Append a timer of this part."""
+        self._outputs.append(SetTimer(PART, name, self.at + delay_s))
+
+    def count(self, name: str) -> None:
+        """Append an increment of a counter of this part."""
+        self._outputs.append(IncrementCounter(f'{PART}.{name}'))
+
+    def drain(self) -> list[Output]:
+        """Return all outputs and start again."""
+        outputs = self._outputs
+        self._outputs = []
+        return outputs
+
+
+__all__ = ('PART', 'Outbox')
--- /dev/null
+++ b/src/cranberryseam/fleet/reconcile.py
@@ -0,0 +1,140 @@
+"""Finding and closing differences between two VMs' tables."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .messages import News, PullRecords, PullWithdrawn, Records
+
+if TYPE_CHECKING:
+    from ..types import VmId
+    from .digest import BucketDigest
+    from .members import MemberTable
+    from .messages import SenderState
+    from .outbox import Outbox
+    from .targets import TargetTable
+
+MEMBERS = 'm'
+TARGETS = 't'
+# A change under way differs for about this long; recent changes close it.
+_PATIENCE_S = 3.0
+# Shortest time between two comparisons of buckets, per table; with 9,400
+# targets one costs about 7 KB per differing bucket.
+_INTERVALS_S = ((MEMBERS, 10.0), (TARGETS, 15.0))
+_ANSWER_TIMEOUT_S = 1.5
+_WITHDRAWN_INTERVAL_S = 0.5
+# Records per message, about 8 KB.
+_PAGE = 100
+
+
+@attrs.define
+class _Comparison:
+    """Progress of one table.
+
+    Parameters
+    ----------
+    equal_at
+        Per region, when a peer of it last had the same digest.
+    pulling
+        True while an answer is expected.
+
+    """
+
+    interval_s: float
+    equal_at: dict[str, float] = attrs.field(factory=dict)
+    pulled_at: float = -math.inf
+    pulling: bool = False
+
+
+class Reconciler:
+    """Compares digests and pulls what differs for long."""
+
+    def __init__(
+        self, members: MemberTable, targets: TargetTable, outbox: Outbox
+    ) -> None:
+        """Start with nothing compared."""
+        self._members = members
+        self._targets = targets
+        self._outbox = outbox
+        self._withdrawn_at = -math.inf
+        self._digests: dict[str, BucketDigest] = {
+            MEMBERS: members.digest,
+            TARGETS: targets.digest,
+        }
+        self._comparisons = {
+            table: _Comparison(interval_s) for table, interval_s in _INTERVALS_S
+        }
+
+    def compare(self, vm: VmId, region: str, state: SenderState) -> None:
+        """Compare the state of a peer with the own tables."""
+        self._compare(vm, region, MEMBERS, state.members)
+        self._compare(vm, region, TARGETS, state.targets)
+
+    def compare_withdrawn(self, vm: VmId, theirs: int, own: int) -> None:
+        """Pull withdrawals of a peer that has others."""
+        at = self._outbox.at
+        if theirs == own or at - self._withdrawn_at < _WITHDRAWN_INTERVAL_S:
+            return
+        self._withdrawn_at = at
+        self._outbox.send(vm, PullWithdrawn())
+
+    def answer_pull(self, sender: VmId, request: PullRecords) -> None:
+        """Send the next records that may differ."""
+        digest = self._digests.get(request.table)
+        if digest is None:
+            return
+        found: list[tuple[int, str]] = []
+        for place in digest.iter_differing(
+            request.digests, request.bucket, request.after
+        ):
+            found.append(place)
+            if len(found) == _PAGE:
+                break
+        bucket, after = found[-1] if len(found) == _PAGE else (-1, '')
+        names = [name for _, name in found]
+        news = self._collect(request.table, names)
+        message = Records(request.table, news, bucket, after)
+        self._outbox.send(sender, message)
+
+    def continue_pull(self, sender: VmId, page: Records) -> None:
+        """Ask for the next page after one was merged."""
+        comparison = self._comparisons.get(page.table)
+        if comparison is None or not comparison.pulling:
+            return
+        comparison.pulled_at = self._outbox.at
+        comparison.pulling = page.bucket >= 0
+        if comparison.pulling:
+            self._pull(sender, page.table, page.bucket, page.after)
+
+    def _compare(self, vm: VmId, region: str, table: str, theirs: int) -> None:
+        at = self._outbox.at
+        comparison = self._comparisons[table]
+        if theirs == self._digests[table].total:
+            comparison.equal_at[region] = at
+            return
+        equal_at = comparison.equal_at.get(region, -math.inf)
+        interval_s = (
+            _ANSWER_TIMEOUT_S if comparison.pulling else comparison.interval_s
+        )
+        is_due = at - comparison.pulled_at > interval_s
+        if is_due and at - equal_at > _PATIENCE_S:
+            comparison.pulled_at = at
+            comparison.pulling = True
+            self._pull(vm, table, 0, '')
+
+    def _pull(self, vm: VmId, table: str, bucket: int, after: str) -> None:
+        packed = self._digests[table].pack()
+        self._outbox.send(vm, PullRecords(table, packed, bucket, after))
+
+    def _collect(self, table: str, names: list[str]) -> News:
+        if table == MEMBERS:
+            records = (self._members.find(name) for name in names)
+            return News(members=tuple(filter(None, records)))
+        targets = (self._targets.find(name) for name in names)
+        return News(targets=tuple(filter(None, targets)))
+
+
+__all__ = ('Reconciler',)
--- /dev/null
+++ b/src/cranberryseam/fleet/targets.py
@@ -0,0 +1,345 @@
+"""Targets that announced themselves, and who vouches for them.
+
+The VM that got an announcement is the origin of the target and vouches for
+it: while the origin is live, other VMs take the target as announcing. Renewals
+without a change stay at the origin, and a VM that gets one for another
+origin's target forwards only (target, sequence), so renewing 9,400 targets
+costs nothing in gossip. The origin spreads a change of state at once, and a
+``silent`` record once it got no announcement for ``EXPIRY_S``. When the origin
+itself is lost, each VM takes its targets as silent until they announce
+themselves through another VM, which then becomes the origin.
+"""
+
+from __future__ import annotations
+
+import math
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from ..core.events import Announcement, TargetState
+from ..core.notices import TargetChanged
+from ..types import ServiceName, TargetId, VmId
+from .announcements import AnnouncementOutdated
+from .digest import BucketDigest, hash_words
+from .members import ALIVE, DEAD, LEFT, SUSPECT, MemberTable
+from .messages import RenewTargets, TargetRecord
+
+if TYPE_CHECKING:
+    from .outbox import Outbox
+    from .spread import Spreader
+
+EXPIRY_S = 3.0
+CHECK_S = 0.25
+# A suspected origin has this long to refute, and its targets to appear through
+# another VM, before they are silent; a record that a push missed arrives with
+# the next acknowledgement, after at most one period of 1 s.
+ORIGIN_GRACE_S = 1.1
+# How long an origin vouches after a change to a status; one that left gives
+# its targets time to announce themselves through another VM.
+_VOUCHING_S = MappingProxyType(
+    {ALIVE: math.inf, SUSPECT: ORIGIN_GRACE_S, DEAD: 0, LEFT: EXPIRY_S}
+)
+# An origin that stood still waits this long for announcements in its queue.
+_RESUME_GRACE_S = 1.0
+# Silent targets are kept so that older announcements don't bring them back.
+_FORGET_S = 60.0
+
+
+@attrs.define
+class Target:
+    """A target as known on this VM.
+
+    Parameters
+    ----------
+    sequence
+        Greatest one seen; renewals raise it only at the origin.
+    heard_at
+        Time of the last announcement, used at the origin only.
+    told
+        What the other parts were told last.
+
+    """
+
+    record: TargetRecord
+    sequence: int
+    heard_at: float
+    changed_at: float
+    told: TargetChanged | None = None
+
+
+class TargetTable:
+    """All targets, merged by (sequence, silent, origin)."""
+
+    def __init__(
+        self, members: MemberTable, spreader: Spreader, outbox: Outbox
+    ) -> None:
+        """Start empty."""
+        self._members = members
+        self._spreader = spreader
+        self._outbox = outbox
+        self._targets: dict[str, Target] = {}
+        self._by_origin: dict[VmId, set[str]] = {}
+        self._renewals: dict[VmId, dict[str, int]] = {}
+        self._elsewhere: set[str] = set()
+        self._vouched: dict[VmId, bool] = {}
+        self.digest = BucketDigest()
+        self._checked_at: float = 0
+
+    def find(self, name: str) -> TargetRecord | None:
+        """Return the record of a target."""
+        target = self._targets.get(name)
+        return target.record if target else None
+
+    def announce(
+        self, announcement: Announcement
+    ) -> AnnouncementOutdated | None:
+        """Take a checked announcement to this VM."""
+        me = self._members.my_vm
+        record = _record_of(announcement, me)
+        target = self._targets.get(record.target)
+        if target is None:
+            self._store(record)
+            return None
+        newest = max(target.sequence, target.record.sequence)
+        if record.sequence == newest:
+            return None
+        if record.sequence < newest:
+            return AnnouncementOutdated(record.sequence, newest)
+        target.sequence = record.sequence
+        target.heard_at = self._outbox.at
+        if not _is_renewal(target.record, record):
+            self._store(record)
+        elif target.record.origin != me:
+            self._renew_elsewhere(target, record)
+        return None
+
+    def merge(self, record: TargetRecord) -> None:
+        """Take a record of another VM if it is newer."""
+        target = self._targets.get(record.target)
+        if target and _rank(record) <= _rank(target.record):
+            return
+        if target and record.silent and self._is_later(target, record):
+            # This VM got a later announcement than the origin did.
+            record = _with(
+                record,
+                sequence=target.sequence,
+                origin=self._members.my_vm,
+                silent=False,
+            )
+        self._store(record)
+
+    def renew(self, renewals: tuple[tuple[str, int], ...]) -> None:
+        """Take renewals that other VMs forwarded to this origin."""
+        for name, sequence in renewals:
+            target = self._targets.get(name)
+            if target and sequence > target.sequence:
+                target.sequence = sequence
+                target.heard_at = self._outbox.at
+                self._revive(target)
+
+    def check(self) -> None:
+        """Look for silent targets and lost origins; forward renewals."""
+        at = self._outbox.at
+        if self._checked_at and at - self._checked_at > 1:
+            self._wait_for_queue()
+        self._checked_at = at
+        for name in sorted(self._by_origin.get(self._members.my_vm, ())):
+            target = self._targets[name]
+            is_overdue = at - target.heard_at >= EXPIRY_S
+            if is_overdue and not target.record.silent:
+                record = target.record
+                self._store(
+                    _with(record, sequence=target.sequence, silent=True)
+                )
+        self.take_over()
+        self._check_origins()
+
+    def take_over(self) -> None:
+        """Become the origin of targets heard here whose origin is not alive.
+
+        It doesn't wait for the next announcement, so that the other VMs don't
+        see the target silent in between.
+        """
+        for name in sorted(self._elsewhere):
+            target = self._targets.get(name)
+            if target is None or not self._is_recent(target):
+                self._elsewhere.discard(name)
+            elif not self._is_alive(VmId(target.record.origin)):
+                me = self._members.my_vm
+                self._elsewhere.discard(name)
+                self._store(
+                    _with(target.record, sequence=target.sequence, origin=me)
+                )
+
+    def end_period(self) -> None:
+        """Forward renewals, one message per origin; forget old targets."""
+        self._forget_old()
+        for origin, renewals in sorted(self._renewals.items()):
+            message = RenewTargets(tuple(renewals.items()))
+            self._outbox.send(origin, message)
+        self._renewals.clear()
+
+    def _store(self, record: TargetRecord) -> None:
+        at = self._outbox.at
+        me = self._members.my_vm
+        target = self._targets.get(record.target)
+        if target is None:
+            target = Target(record, record.sequence, at, at)
+            self._targets[record.target] = target
+        else:
+            before = VmId(target.record.origin)
+            self._by_origin[before].discard(record.target)
+            if before != me and record.origin == me:
+                target.heard_at = at
+            target.record = record
+            target.sequence = max(target.sequence, record.sequence)
+            target.changed_at = at
+        self._by_origin.setdefault(VmId(record.origin), set()).add(
+            record.target
+        )
+        self.digest.replace(record.target, _hash_record(record))
+        self._spreader.add_target(record)
+        self._tell(target)
+
+    def _revive(self, target: Target) -> None:
+        if target.record.silent:
+            me = self._members.my_vm
+            self._store(
+                _with(
+                    target.record,
+                    sequence=target.sequence,
+                    origin=me,
+                    silent=False,
+                )
+            )
+
+    def _renew_elsewhere(self, target: Target, record: TargetRecord) -> None:
+        origin = VmId(target.record.origin)
+        if not self._is_alive(origin):
+            self._store(record)
+            return
+        self._elsewhere.add(record.target)
+        renewals = self._renewals.setdefault(origin, {})
+        renewals[record.target] = record.sequence
+
+    def _is_later(self, target: Target, record: TargetRecord) -> bool:
+        return target.sequence > record.sequence and self._is_recent(target)
+
+    def _is_recent(self, target: Target) -> bool:
+        return self._outbox.at - target.heard_at < EXPIRY_S
+
+    def _is_alive(self, vm: VmId) -> bool:
+        if vm == self._members.my_vm:
+            return True
+        member = self._members.members.get(vm)
+        return member is not None and member.record.status == ALIVE
+
+    def _wait_for_queue(self) -> None:
+        latest = self._outbox.at - EXPIRY_S + _RESUME_GRACE_S
+        for name in self._by_origin.get(self._members.my_vm, ()):
+            target = self._targets[name]
+            target.heard_at = max(target.heard_at, latest)
+
+    def _check_origins(self) -> None:
+        for origin, names in tuple(self._by_origin.items()):
+            vouched = self._is_vouched(origin)
+            if self._vouched.get(origin) == vouched:
+                continue
+            self._vouched[origin] = vouched
+            for name in sorted(names):
+                self._tell(self._targets[name])
+
+    def _forget_old(self) -> None:
+        oldest = self._outbox.at - _FORGET_S
+        old = [
+            name
+            for name, target in self._targets.items()
+            if target.told and target.told.silent and target.changed_at < oldest
+        ]
+        for name in old:
+            record = self._targets.pop(name).record
+            self._by_origin[VmId(record.origin)].discard(name)
+            self.digest.remove(name)
+
+    def _is_vouched(self, origin: VmId) -> bool:
+        if origin == self._members.my_vm:
+            return True
+        member = self._members.members.get(origin)
+        if member is None:
+            return False
+        grace_s = _VOUCHING_S[member.record.status]
+        return self._outbox.at - member.changed_at < grace_s
+
+    def _tell(self, target: Target) -> None:
+        record = target.record
+        silent = record.silent or not self._is_vouched(VmId(record.origin))
+        told = target.told
+        if told and told.silent == silent and _is_same(told, record):
+            return
+        target.changed_at = self._outbox.at
+        target.told = TargetChanged(
+            self._outbox.at, _announcement_of(record), silent
+        )
+        self._outbox.add(target.told)
+
+
+def _rank(record: TargetRecord) -> tuple[int, bool, str]:
+    return record.sequence, record.silent, record.origin
+
+
+def _with(record: TargetRecord, **changes: object) -> TargetRecord:
+    changed: TargetRecord = msgspec.structs.replace(record, **changes)
+    return changed
+
+
+def _hash_record(record: TargetRecord) -> int:
+    return hash_words(record.sequence, record.silent, record.origin)
+
+
+def _is_renewal(known: TargetRecord, record: TargetRecord) -> bool:
+    return known == _with(record, sequence=known.sequence, origin=known.origin)
+
+
+def _is_same(told: TargetChanged, record: TargetRecord) -> bool:
+    announcement = _announcement_of(record)
+    return told.announcement == attrs.evolve(
+        announcement, sequence=told.announcement.sequence
+    )
+
+
+def _record_of(announcement: Announcement, origin: VmId) -> TargetRecord:
+    return TargetRecord(
+        target=announcement.target,
+        service=announcement.service,
+        host=announcement.host,
+        port=announcement.port,
+        region=announcement.region,
+        data_centre=announcement.data_centre,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        state=announcement.state.value,
+        sequence=announcement.sequence,
+        silent=False,
+        origin=origin,
+    )
+
+
+def _announcement_of(record: TargetRecord) -> Announcement:
+    return Announcement(
+        target=TargetId(record.target),
+        service=ServiceName(record.service),
+        host=record.host,
+        port=record.port,
+        region=record.region,
+        data_centre=record.data_centre,
+        slots=record.slots,
+        connections=record.connections,
+        state=TargetState(record.state),
+        sequence=record.sequence,
+    )
+
+
+__all__ = ('CHECK_S', 'EXPIRY_S', 'TargetTable')
--- a/src/cranberryseam/keys/table.py
+++ b/src/cranberryseam/keys/table.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import math
-from functools import singledispatchmethod
 from itertools import islice
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from expression import Error, Ok, Result
 
 from ..core.commands import DrainVm
 from ..core.effects import SetReadiness, SetTimer
-from ..core.events import CommandReceived, Event, StopRequested
+from ..core.events import (
+    CommandReceived,
+    Event,
+    StopRequested,
+    TimerFired,
+)
 from ..core.notices import (
     ConfigurationChanged,
     KeysWithdrawn,
@@ -24,6 +28,8 @@
 from .freshness import Freshness
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..configuration.model import Configuration, Key
     from ..configuration.settings import Settings
     from ..types import KeyId, Output
@@ -55,6 +61,16 @@
         self._configuration: Configuration | None = None
         self._stopping = False
         self._ready = False
+        # Looked up by type: this is on the path of each request.
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            StopRequested: self._stop,
+            CommandReceived: self._drain,
+            ConfigurationChanged: self._configure,
+            KeysWithdrawn: self._withdraw,
+            RoundTripCompleted: self._complete,
+            RegionsHeard: self._hear_regions,
+            TimerFired: self._expire,
+        }
 
     def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
         """Return the account of a key that may be used now."""
@@ -72,8 +88,11 @@
 
     def handle(self, event: Event | Notice) -> list[Output]:
         """Apply one event or notice."""
+        apply = self._handlers.get(type(event))
+        if apply is None:
+            return []
         outputs: list[Output] = []
-        self._apply(event)
+        apply(event)
         if isinstance(event, RoundTripCompleted | RegionsHeard):
             outputs.extend(self._watch_expiry())
         ready = self._is_ready(event.at)
@@ -82,37 +101,30 @@
             outputs.append(SetReadiness(ready))
         return outputs
 
-    @singledispatchmethod
-    def _apply(self, event: Event | Notice) -> None:
-        """Ignore what belongs to other parts."""
-
-    @_apply.register
     def _stop(self, event: StopRequested) -> None:
         self._stopping = True
 
-    @_apply.register
     def _drain(self, event: CommandReceived) -> None:
         self._stopping |= isinstance(event.command, DrainVm)
 
-    @_apply.register
     def _configure(self, notice: ConfigurationChanged) -> None:
         configuration = notice.configuration
         self._configuration = configuration
         self._index(configuration)
         self._withdrawn -= configuration.withdrawn
 
-    @_apply.register
     def _withdraw(self, notice: KeysWithdrawn) -> None:
         self._withdrawn.update(notice.key_ids)
 
-    @_apply.register
     def _complete(self, notice: RoundTripCompleted) -> None:
         self._freshness.take_round_trip(notice)
 
-    @_apply.register
     def _hear_regions(self, notice: RegionsHeard) -> None:
         self._freshness.take_regions(notice)
 
+    def _expire(self, event: TimerFired) -> None:
+        """Let ``handle`` look at the freshness again."""
+
     def _watch_expiry(self) -> list[Output]:
         ends_at = self._freshness.ends_at()
         if not math.isfinite(ends_at):
--- /dev/null
+++ b/tests/fleet/test_fleet_configuration.py
@@ -0,0 +1,215 @@
+"""Tests of the distribution of the configuration."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from functools import partial
+
+import testtools
+from fleet_fixtures import FIRST_ENTRIES, build, commit, have_version
+from fleet_network import Network
+from parameterized import parameterized
+
+from cranberryseam.configuration.entries import KeyGranted, apply_entry
+from cranberryseam.configuration.model import Configuration
+from cranberryseam.core.commands import ShowLists
+from cranberryseam.core.notices import SnapshotInstalled
+from cranberryseam.fleet.copy import ConfigurationCopy
+from cranberryseam.fleet.messages import Entries, PullEntries, PullSnapshot
+from cranberryseam.fleet.outbox import Outbox
+from cranberryseam.fleet.start import PeerAnswer, StartRule
+
+
+def _grant(number: int) -> KeyGranted:
+    key = f'{number}'
+    return KeyGranted(key, f'id{number}', 'duka', key.encode())
+
+
+def _large(keys: int) -> Configuration:
+    configuration = Configuration()
+    for version, entry in enumerate(FIRST_ENTRIES, start=1):
+        configuration = apply_entry(configuration, version, entry)
+    granted = {}
+    for number in range(keys):
+        one = apply_entry(Configuration(), 1, _grant(number))
+        granted.update(one.keys)
+    configuration.keys = {**configuration.keys, **granted}
+    configuration.version = 5000
+    return configuration
+
+
+def _serves_version_order(network: Network) -> bool:
+    return all(
+        [version for _, version in vm.versions]
+        == sorted({version for _, version in vm.versions})
+        for vm in network.vms.values()
+    )
+
+
+class CopyTest(testtools.TestCase):
+    """Guards against versions that go back or skip an entry."""
+
+    @parameterized.expand([(f'seed_{seed}', seed) for seed in range(5)])
+    def test_against_model(self, _name: str, seed: int) -> None:
+        # The model is the greatest version and the entries up to it.
+        rng = random.Random(seed)
+        log = [*FIRST_ENTRIES, *(_grant(number) for number in range(60))]
+        states = [Configuration()]
+        for version, entry in enumerate(log, start=1):
+            states.append(apply_entry(states[-1], version, entry))
+        outbox = Outbox()
+        source = ConfigurationCopy(Outbox())
+        copy = ConfigurationCopy(outbox)
+        copy.settle()
+        model = 0
+        chunks = []
+        for _ in range(400):
+            outbox.at += 1
+            first = rng.randrange(1, len(log))
+            batch = tuple(log[first - 1 : first - 1 + rng.randrange(1, 6)])
+            if rng.random() < 0.1:
+                upto = rng.randrange(1, len(log))
+                source.take_whole(states[upto])
+                source.answer_snapshot_pull('s', PullSnapshot(0, 0))
+                chunks.extend(
+                    output.message for output in source._outbox.drain()
+                )
+                copy.take_chunk('s', rng.choice(chunks))
+                model = max(model, copy.version)
+            else:
+                copy.take_entries(first, batch)
+                if first <= model + 1:
+                    model = max(model, first + len(batch) - 1)
+            self.assertEqual(copy.version, model)
+            self.assertEqual(copy.configuration, states[model])
+        versions = [
+            output.configuration.version
+            for output in outbox.drain()
+            if hasattr(output, 'configuration')
+        ]
+        self.assertEqual(versions, sorted(set(versions)))
+        self.assertEqual(versions[-1], model)
+
+    @parameterized.expand([('delta', 40, 'Entries'), ('whole', 400, 'Chunk')])
+    def test_answer_to_pull(self, _name: str, behind: int, kind: str) -> None:
+        outbox = Outbox()
+        copy = ConfigurationCopy(outbox)
+        for number in range(1, 501):
+            copy.take_entries(number, (_grant(number),))
+        copy.answer_pull('peer', PullEntries(500 - behind))
+        message = outbox.drain()[0].message
+        self.assertIn(kind, type(message).__name__)
+        if isinstance(message, Entries):
+            self.assertEqual(message.first, 461)
+
+    def test_late_snapshot_does_not_revert(self) -> None:
+        source = ConfigurationCopy(Outbox())
+        source.take_entries(1, FIRST_ENTRIES)
+        source.answer_snapshot_pull('s', PullSnapshot(0, 0))
+        chunk = source._outbox.drain()[0].message
+        copy = ConfigurationCopy(Outbox())
+        copy.settle()
+        copy.take_whole(_large(10))
+        copy.take_chunk('s', chunk)
+        self.assertFalse(copy.take_whole(source.configuration))
+        self.assertEqual((copy.version, copy.in_force), (5000, 5000))
+
+    def test_nothing_in_force_before_settled(self) -> None:
+        outbox = Outbox()
+        copy = ConfigurationCopy(outbox)
+        copy.take_entries(1, (FIRST_ENTRIES[0],))
+        self.assertEqual((copy.version, copy.in_force), (1, 0))
+        copy.settle()
+        self.assertEqual(copy.in_force, 1)
+
+
+class StartRuleTest(testtools.TestCase):
+    """Guards against a restarted VM that trusts an old configuration."""
+
+    @parameterized.expand(
+        [
+            ('three_settled', 3, False, True, 9, True),
+            ('two_settled_of_many', 2, False, True, 9, False),
+            ('one_control', 1, True, True, 9, True),
+            ('all_of_two', 2, False, True, 2, True),
+            ('three_that_just_started', 3, False, False, 9, False),
+            ('nobody', 0, False, True, 0, False),
+        ]
+    )
+    def test_rule(self, _name, answers, control, settled, live, met) -> None:
+        rule = StartRule()
+        for number in range(answers):
+            answer = PeerAnswer(5 + number, settled, control)
+            rule.note(f'vm{number}', answer)
+        names = [f'vm{number}' for number in range(live)]
+        self.assertEqual(rule.is_met(names, may_be_more=False), met)
+
+
+class DistributionTest(testtools.TestCase):
+    """Guards against changes that are late, lost or taken back."""
+
+    @parameterized.expand([('8', 8, 4), ('44', 44, 2)])
+    def test_time_in_force(self, _name: str, size: int, seeds: int) -> None:
+        times = []
+        for seed in range(seeds):
+            network = build(size, seed, loss=0.02)
+            for version in range(4, 9):
+                start = network.now
+                commit(network, version, _grant(version))
+                seen = network.run(11, partial(have_version, network, version))
+                self.assertIsNotNone(seen)
+                times.append(seen - start)
+            self.assertTrue(_serves_version_order(network))
+        self.assertLess(statistics.median(times), 2)
+        self.assertLess(max(times), 5)
+
+    def test_returning_and_restarted_vms(self) -> None:
+        network = build(44, 11)
+        network.isolate('vm0020')
+        for version in range(4, 8):
+            commit(network, version, _grant(version))
+            network.run(2)
+        self.assertEqual(network.vms['vm0020'].versions[-1][1], 3)
+        network.cuts.clear()
+        # Control VMs are unreachable, so entry VMs must answer.
+        for name in network.names[:3]:
+            network.isolate(name)
+        network.start('vm0030')
+        back = network.run(8, lambda: have_version(network, 7))
+        self.assertIsNotNone(back)
+        self.assertEqual(network.vms['vm0030'].versions[0][1], 7)
+
+    def test_restart_takes_the_newest_at_once(self) -> None:
+        # One neighbour lags; three answers are needed to notice.
+        for seed in range(3):
+            network = build(8, seed)
+            network.isolate('vm0003')
+            commit(network, 4, _grant(4))
+            network.run(5)
+            network.cuts.clear()
+            network.start('vm0007')
+            network.run(6)
+            first = network.vms['vm0007'].versions[0][1]
+            self.assertEqual(first, 4)
+
+    def test_whole_configuration_in_chunks(self) -> None:
+        network = build(8, 12, loss=0.05)
+        configuration = _large(3000)
+        for name in network.names[:3]:
+            network.deliver(name, SnapshotInstalled(network.now, configuration))
+        seen = network.run(20, lambda: have_version(network, 5000))
+        self.assertIsNotNone(seen)
+        keys = {len(vm.configuration.keys) for vm in network.vms.values()}
+        self.assertEqual(keys, {3001})
+        self.assertTrue(_serves_version_order(network))
+
+    def test_lists_answer_has_no_hash(self) -> None:
+        network = build(8, 13)
+        answer = network.command('vm0005', ShowLists())
+        self.assertEqual(answer.version, 2)
+        self.assertEqual(
+            answer.body['keys'],
+            [{'id': 'k1', 'account': 'duka', 'withdrawn': False}],
+        )
+        self.assertNotIn('hash', repr(answer.body))
--- /dev/null
+++ b/tests/fleet/test_fleet_targets.py
@@ -0,0 +1,162 @@
+"""Tests of target announcements across the fleet."""
+
+from __future__ import annotations
+
+import statistics
+from functools import partial
+
+import testtools
+from fleet_fixtures import announce, build, keep_announcing
+from fleet_network import Network
+from parameterized import parameterized
+
+from cranberryseam.core.events import TargetState
+from cranberryseam.core.notices import TargetChanged
+from cranberryseam.fleet import (
+    AnnouncementOutdated,
+    ConfigurationMissing,
+    ServiceUnknown,
+    TargetKeyRefused,
+)
+
+
+def _all(network: Network, **expected: object) -> bool:
+    for vm in network.vms.values():
+        notice = vm.targets.get('t1')
+        if notice is None or notice.silent != expected.get('silent', False):
+            return False
+        state = expected.get('state', notice.announcement.state)
+        if notice.announcement.state is not state:
+            return False
+    return True
+
+
+def _silences(network: Network, since: int) -> int:
+    return sum(
+        isinstance(notice, TargetChanged) and notice.silent
+        for _, _, notice in network.changes[since:]
+    )
+
+
+class CheckTest(testtools.TestCase):
+    """Guards against targets that nobody vouches for."""
+
+    @parameterized.expand(
+        [
+            ('service', {'service': 'other'}, ServiceUnknown),
+            ('key', {'key_hash': b'x'}, TargetKeyRefused),
+            ('host', {'host': 'malipo.example'}, 'host'),
+            ('any_host', {'host': '0.0.0.0'}, 'host'),
+            ('port', {'port': 0}, 'port'),
+            ('slots', {'slots': 0}, 'slots'),
+            ('connections', {'connections': 10**9}, 'connections'),
+            ('name', {'target': ''}, 'target'),
+        ]
+    )
+    def test_refused(self, _name: str, fields: dict, expected) -> None:
+        network = build(1, 1, controls=1)
+        failure = announce(network, 'vm0000', 1, **fields)
+        if isinstance(expected, str):
+            self.assertEqual(failure.key, expected)
+        else:
+            self.assertIsInstance(failure, expected)
+        self.assertEqual(network.vms['vm0000'].targets, {})
+
+    def test_before_configuration(self) -> None:
+        network = Network(1, 1)
+        failure = announce(network, 'vm0000', 1)
+        self.assertIsInstance(failure, ConfigurationMissing)
+
+    def test_sequence(self) -> None:
+        network = build(1, 1, controls=1)
+        results = [announce(network, 'vm0000', 5) for _ in range(2)]
+        self.assertEqual(results, [None, None])
+        failure = announce(network, 'vm0000', 4)
+        self.assertEqual(failure, AnnouncementOutdated(4, 5))
+
+
+class SpreadTest(testtools.TestCase):
+    """Guards against work for targets that leave or are gone."""
+
+    @parameterized.expand([('8', 8, 4), ('44', 44, 2)])
+    def test_drain_then_silence(
+        self, _name: str, size: int, seeds: int
+    ) -> None:
+        drained, silent = [], []
+        for seed in range(seeds):
+            network = build(size, seed, loss=0.05)
+            origin = network.names[-1]
+            sequence = keep_announcing(network, 4, origin, 1)
+            self.assertTrue(_all(network))
+            start = network.now
+            announce(network, origin, sequence, TargetState.draining)
+            seen = network.run(
+                5, partial(_all, network, state=TargetState.draining)
+            )
+            drained.append(seen - start)
+            seen = network.run(6, partial(_all, network, silent=True))
+            silent.append(seen - start)
+        self.assertLess(max(drained), 5)
+        self.assertLessEqual(max(silent), 5)
+        self.assertGreaterEqual(min(silent), 3)
+        self.assertLess(statistics.median(drained), 2)
+
+    def test_steady_target_never_flaps(self) -> None:
+        network = build(44, 31, loss=0.05)
+        keep_announcing(network, 20, 'vm0020', 1)
+        self.assertTrue(_all(network))
+        self.assertEqual(_silences(network, 0), 0)
+
+    def test_moves_without_flapping(self) -> None:
+        for seed in range(2):
+            network = build(44, seed)
+            sequence = keep_announcing(network, 4, 'vm0020', 1)
+            network.stop('vm0020')
+            network.run(0.5)
+            keep_announcing(network, 8, 'vm0021', sequence)
+            self.assertTrue(_all(network))
+            self.assertEqual(_silences(network, 0), 0)
+
+    def test_balanced_announcements_stay_cheap(self) -> None:
+        network = build(44, 32)
+        sequence = keep_announcing(network, 3, 'vm0020', 1)
+        pushed = network.kinds['Push']
+        for number in range(15):
+            name = network.names[20 + number % 15]
+            sequence = keep_announcing(network, 1, name, sequence)
+        self.assertEqual(network.kinds['Push'], pushed)
+        self.assertEqual(_silences(network, 0), 0)
+        self.assertTrue(_all(network))
+
+    def test_target_and_origin_lost_together(self) -> None:
+        network = build(44, 33)
+        keep_announcing(network, 4, 'vm0020', 1)
+        network.stop('vm0020')
+        seen = network.run(12, lambda: _all(network, silent=True))
+        self.assertIsNotNone(seen)
+
+    def test_late_announcement_does_not_revert(self) -> None:
+        network = build(8, 34)
+        announce(network, 'vm0005', 10)
+        network.run(2)
+        announce(network, 'vm0005', 12, TargetState.draining)
+        network.run(2)
+        failure = announce(network, 'vm0006', 11)
+        self.assertEqual(failure, AnnouncementOutdated(11, 12))
+        network.run(0.5)
+        self.assertTrue(_all(network, state=TargetState.draining))
+
+    def test_restarted_vm_learns_targets(self) -> None:
+        network = build(44, 35)
+        sequence = keep_announcing(network, 3, 'vm0020', 1)
+        network.start('vm0030')
+        keep_announcing(network, 6, 'vm0020', sequence)
+        self.assertTrue(_all(network))
+
+    def test_frozen_origin(self) -> None:
+        network = build(44, 36)
+        sequence = keep_announcing(network, 3, 'vm0020', 1)
+        network.freeze('vm0020', 30)
+        network.run(1)
+        sequence = keep_announcing(network, 40, 'vm0021', sequence)
+        self.assertTrue(_all(network))
--- /dev/null
+++ b/tests/fleet/test_fleet_traffic.py
@@ -0,0 +1,25 @@
+"""Tests of the bytes that gossip costs."""
+
+from __future__ import annotations
+
+import testtools
+from fleet_fixtures import build
+from parameterized import parameterized
+
+_LIMIT_BYTES_S = 2048
+_SECONDS = 20
+
+
+class TrafficTest(testtools.TestCase):
+    """Guards against gossip that grows with the size of the fleet."""
+
+    @parameterized.expand([('8', 8), ('44', 44)])
+    def test_steady(self, _name: str, size: int) -> None:
+        network = build(size, 1)
+        network.run(15)
+        network.sent.clear()
+        network.received.clear()
+        network.run(_SECONDS)
+        for counter in (network.sent, network.received):
+            most = max(counter.values()) / _SECONDS
+            self.assertLess(most, _LIMIT_BYTES_S)
--- /dev/null
+++ b/tests/fleet/test_fleet_withdrawals.py
@@ -0,0 +1,158 @@
+"""Tests of withdrawn keys across the fleet."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from functools import partial
+
+import testtools
+from fleet_fixtures import CALLER_KEY, build, commit
+from fleet_network import Network
+from parameterized import parameterized
+
+from cranberryseam.configuration.entries import KeyWithdrawn
+from cranberryseam.core.commands import ShowFleet, WithdrawKey
+from cranberryseam.core.refusals import RefusalReason
+from cranberryseam.fleet.messages import PullWithdrawn
+from cranberryseam.fleet.outbox import Outbox
+from cranberryseam.fleet.withdrawals import WithdrawalSet
+from cranberryseam.types import KeyId
+
+
+def _refused(network: Network) -> bool:
+    return all(
+        vm.keys.check(CALLER_KEY, network.now).is_error()
+        for vm in network.vms.values()
+    )
+
+
+class WithdrawalSetTest(testtools.TestCase):
+    """Guards against a withdrawal that is lost in a merge."""
+
+    @parameterized.expand([(f'seed_{seed}', seed) for seed in range(5)])
+    def test_against_union(self, _name: str, seed: int) -> None:
+        rng = random.Random(seed)
+        ours = WithdrawalSet(Outbox())
+        theirs = WithdrawalSet(Outbox())
+        model: set[str] = set()
+        committed: set[str] = set()
+        for _ in range(200):
+            ids = [f'k{rng.randrange(300)}' for _ in range(3)]
+            if rng.random() < 0.3:
+                committed.update(ids)
+                ours.take_committed(frozenset(map(KeyId, committed)))
+            else:
+                ours.add(ids)
+            model.update(ids)
+            self.assertTrue(all(key in ours for key in model))
+        self.assertNotIn('other', ours)
+        theirs.add(sorted(model))
+        self.assertEqual(ours.digest, theirs.digest)
+
+    def test_pages(self) -> None:
+        outbox = Outbox()
+        source = WithdrawalSet(outbox)
+        taker = WithdrawalSet(Outbox())
+        source.add(f'k{number}' for number in range(450))
+        request = PullWithdrawn()
+        for _ in range(3):
+            outbox.drain()
+            source.answer_pull('b', request)
+            page = outbox.drain()[0].message
+            taker.take_page('a', page)
+            request = PullWithdrawn(page.key_ids[-1])
+        self.assertEqual(taker.digest, source.digest)
+
+
+class WithdrawTest(testtools.TestCase):
+    """Guards against a withdrawn key that still works."""
+
+    @parameterized.expand([('8', 8, 5), ('44', 44, 2)])
+    def test_refused_everywhere(
+        self, _name: str, size: int, seeds: int
+    ) -> None:
+        times = []
+        for seed in range(seeds):
+            network = build(size, seed, loss=0.05)
+            # No control VM can be reached.
+            for name in network.names[:3]:
+                network.isolate(name)
+            start = network.now
+            network.command(network.names[-1], WithdrawKey('c', 'k1'))
+            seen = network.run(6, partial(_refused, network))
+            self.assertIsNotNone(seen)
+            times.append(seen - start)
+        self.assertLess(statistics.median(times), 5)
+        # The cut-off control VMs refuse by freshness at the latest.
+        self.assertLessEqual(max(times), 5.2)
+
+    @parameterized.expand([('cut_off', False), ('hears_nothing', True)])
+    def test_cut_off_vm(self, _name: str, one_way: bool) -> None:
+        network = build(44, 21)
+        for other in network.names:
+            network.cut(other, 'vm0040', one_way=one_way)
+        start = network.now
+        network.command('vm0001', WithdrawKey('c', 'k1'))
+        seen = network.run(6, partial(_refused, network))
+        self.assertLessEqual(seen - start, 5.1)
+        network.run(0.1)
+        cut_off = network.vms['vm0040']
+        reason = cut_off.keys.check(CALLER_KEY, network.now).error.reason
+        self.assertEqual(reason, RefusalReason.keys_stale)
+        self.assertFalse(cut_off.ready)
+
+    def test_frozen_vm_refuses_on_waking(self) -> None:
+        # Its queue holds answers to pings from before the freeze.
+        network = build(8, 22)
+        network.freeze('vm0007', 60)
+        network.command('vm0001', WithdrawKey('c', 'k1'))
+        network.run(59)
+        allowed: list[float] = []
+        fresh: list[float] = []
+
+        def observe(name: str, vm: object) -> None:
+            if name == 'vm0007':
+                checked = vm.keys.check(CALLER_KEY, network.now)
+                allowed.extend([network.now] * checked.is_ok())
+                fresh.extend([network.now] * vm.ready)
+
+        network.observer = observe
+        woken = network.now + 1
+        network.run(10)
+        self.assertEqual(allowed, [])
+        self.assertGreater(fresh[0], woken + 0.001)
+        self.assertIn('k1', network.vms['vm0007'].withdrawn)
+
+    def test_answer_and_confirmation(self) -> None:
+        network = build(8, 23)
+        network.isolate('vm0006')
+        answer = network.command('vm0004', WithdrawKey('c', 'other'))
+        self.assertEqual(answer.body['known_here'], False)
+        self.assertEqual(answer.body['confirmed'], ['vm0004'])
+        network.run(15)
+        again = network.command('vm0004', WithdrawKey('c', 'other'))
+        self.assertEqual(again.body['unconfirmed'], ['vm0006'])
+        rows = network.command('vm0004', ShowFleet()).body['members']
+        unconfirmed = [
+            row['name'] for row in rows if not row['withdrawals_confirmed']
+        ]
+        self.assertEqual(unconfirmed, ['vm0006'])
+        network.cuts.clear()
+        network.run(15)
+        final = network.command('vm0004', WithdrawKey('c', 'other'))
+        self.assertEqual(final.body['unconfirmed'], [])
+
+    def test_survives_restarts_and_commit(self) -> None:
+        network = build(8, 24)
+        network.command('vm0007', WithdrawKey('c', 'k1'))
+        network.run(3)
+        for name in network.names[3:]:
+            network.start(name)
+            network.run(6)
+        self.assertTrue(_refused(network))
+        commit(network, 4, KeyWithdrawn('c', 'k1'))
+        network.run(15)
+        self.assertTrue(_refused(network))
+        answer = network.command('vm0003', WithdrawKey('c', 'k1'))
+        self.assertEqual(answer.body['unconfirmed'], [])
