Measure routing policies in virtual time

Cause: nothing about detection, fairness or overload was measured. Targets that were there before this VM started no longer get a cold start grace at the leader.

--- /dev/null
+++ b/src/cranberryseam/experiments/policy.py
@@ -0,0 +1,149 @@
+"""Measure routing policies in virtual time.
+
+Run ``python -m cranberryseam.experiments.policy --runs N --seed S``.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import attrs
+import fire
+
+from .policy_baselines import POLICIES
+from .policy_metrics import RunResult
+from .policy_scenarios import DEPLOYMENTS, SCENARIOS
+from .policy_simulation import Simulation
+
+_COLUMNS = (
+    'policy',
+    'scenario',
+    'found',
+    'median_s',
+    'worst_s',
+    'diverted_s',
+    'false',
+    'floor',
+    'worst_share',
+    'worst_p99_s',
+    'answered',
+    'refused',
+    'bytes_s',
+)
+_WIDTH = 12
+_DIGITS = 3
+
+
+@attrs.frozen
+class Case:
+    """One run to make."""
+
+    deployment: str
+    scenario: str
+    policy: str
+    seed: int
+
+
+def run_case(case: Case) -> RunResult:
+    """Make one run."""
+    simulation = Simulation(
+        DEPLOYMENTS[case.deployment],
+        SCENARIOS[case.scenario],
+        case.policy,
+        case.seed,
+    )
+    return simulation.run()
+
+
+def summarise(
+    policy: str, scenario: str, runs: list[RunResult]
+) -> dict[str, object]:
+    """Return one row of the table."""
+    found = [seconds for run in runs for seconds in run.detected_s]
+    missed = sum(run.missed for run in runs)
+    diverted = [seconds for run in runs for seconds in run.diverted_s]
+    refused: Counter[str] = Counter()
+    for run in runs:
+        refused.update(run.refused)
+    return {
+        'policy': policy,
+        'scenario': scenario,
+        'found': f'{len(found)}/{len(found) + missed}',
+        'median_s': _round(statistics.median(found)) if found else None,
+        'worst_s': _round(max(found)) if found else None,
+        'diverted_s': _round(statistics.median(diverted)) if diverted else None,
+        'false': sum(run.false_ejections for run in runs),
+        'floor': sum(run.under_floor for run in runs),
+        'worst_share': _round(min(run.worst_share for run in runs)),
+        'worst_p99_s': _round(max(run.worst_p99_s for run in runs)),
+        'answered': _round(
+            statistics.fmean(run.answered_share for run in runs)
+        ),
+        'refused': sum(refused.values()),
+        'bytes_s': round(statistics.fmean(run.bytes_per_vm_s for run in runs)),
+        'reasons': dict(refused.most_common()),
+    }
+
+
+def measure(
+    runs: int = 5,
+    seed: int = 1,
+    deployment: str = 'kilimo',
+    policies: str = '',
+    scenarios: str = '',
+    output: str = '',
+    processes: int = 4,
+) -> None:
+    """Run policies in scenarios, print a table, write JSON.
+
+    Parameters
+    ----------
+    runs
+        Runs per policy and scenario, with seeds ``seed``, ``seed + 1``, ...
+    policies, scenarios
+        Names separated by commas; all by default.
+    output
+        File for the rows as JSON.
+
+    """
+    rows = []
+    print(' '.join(name.rjust(_WIDTH) for name in _COLUMNS))
+    with ProcessPoolExecutor(processes) as executor:
+        for scenario in _split(scenarios) or SCENARIOS:
+            for policy in _split(policies) or POLICIES:
+                cases = [
+                    Case(deployment, scenario, policy, number)
+                    for number in range(seed, seed + runs)
+                ]
+                row = summarise(
+                    policy, scenario, list(executor.map(run_case, cases))
+                )
+                rows.append(row)
+                _print_row(row)
+    if output:
+        Path(output).write_text(json.dumps(rows, indent=1), encoding='utf-8')
+
+
+def _split(names: str | tuple[str, ...]) -> list[str]:
+    if isinstance(names, str):
+        names = tuple(names.split(','))
+    return [name for name in names if name]
+
+
+def _round(number: float) -> float:
+    return round(number, _DIGITS)
+
+
+def _print_row(row: dict[str, object]) -> None:
+    cells = (str(row[name]).rjust(_WIDTH) for name in _COLUMNS)
+    print(' '.join(cells), flush=True)
+
+
+if __name__ == '__main__':
+    fire.Fire(measure)
+
+__all__ = ('Case', 'measure', 'run_case', 'summarise')
--- /dev/null
+++ b/src/cranberryseam/experiments/policy_vms.py
@@ -0,0 +1,202 @@
+"""Real routers of a fleet in virtual time, connected by delays only."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from ..configuration.model import Configuration, Service
+from ..configuration.settings import Addresses, Settings, VmSettings
+from ..core.codec import Codec
+from ..core.effects import SendMessage, SetTimer
+from ..core.events import MessageReceived, Started, TimerFired
+from ..core.notices import (
+    ConfigurationChanged,
+    SlotAssigned,
+    SlotDenied,
+    TargetChanged,
+)
+from ..routing import MESSAGES, Router
+from ..types import VmId
+
+if TYPE_CHECKING:
+    from ..core.events import Announcement
+    from ..types import Output
+    from .policy_baselines import PolicyFactory
+    from .policy_metrics import Recorder
+    from .policy_scenarios import Deployment
+
+SERVICE = 'work'
+FLOOR = 0.5
+_CODEC = Codec(MESSAGES)
+
+
+class Clock:
+    """Calls in the order of virtual time."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.now: float = 0
+        self._serial = 0
+        self._calls: list[tuple[float, int, Callable[[], None]]] = []
+
+    def call_at(self, at: float, call: Callable[[], None]) -> None:
+        """Run a call at a time, never before now."""
+        self._serial += 1
+        heapq.heappush(self._calls, (max(at, self.now), self._serial, call))
+
+    def run_until(self, end: float) -> None:
+        """Run all calls up to a time."""
+        while self._calls and self._calls[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._calls)
+            call()
+
+
+class FirstVmLeads:
+    """Leadership by the first VM of each region."""
+
+    def __init__(self, vm: VmId, leaders: dict[str, VmId]) -> None:
+        """Remember who asks."""
+        self._vm = vm
+        self._leaders = leaders
+
+    def leader_of(self, region: str, shard_key: str) -> VmId | None:
+        """Return the first VM of the region."""
+        return self._leaders[region]
+
+    def is_leader(self, region: str, shard_key: str, at: float) -> bool:
+        """Return whether this VM is the first of the region."""
+        return self._leaders[region] == self._vm
+
+
+@attrs.define(eq=False)
+class Vm:
+    """One entry VM."""
+
+    name: VmId
+    region: str
+    data_centre: str
+    router: Router
+    timers: dict[str, int] = attrs.field(factory=dict)
+
+
+class Fleet:
+    """The VMs of a deployment.
+
+    Parameters
+    ----------
+    on_slot
+        Called with the VM and each ``SlotAssigned`` or ``SlotDenied``.
+
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        factory: PolicyFactory,
+        rng: random.Random,
+        recorder: Recorder,
+    ) -> None:
+        """Create the routers and start them."""
+        self.clock = Clock()
+        self.recorder = recorder
+        self.deployment = deployment
+        self.on_slot: Callable[[Vm, Any], None] = _ignore
+        self.vms: dict[VmId, Vm] = {}
+        places = _place_vms(deployment)
+        leaders: dict[str, VmId] = {}
+        for name, region, _ in places:
+            leaders.setdefault(region, name)
+        for name, region, centre in places:
+            settings = Settings(
+                VmSettings(name, region, centre),
+                Addresses('192.0.2.1:1'),
+                deployment.regions,
+            )
+            router = factory(
+                settings,
+                FirstVmLeads(name, leaders),
+                random.Random(rng.random()),
+            )
+            self.vms[name] = Vm(name, region, centre, router)
+        self._start()
+
+    def announce(self, announcement: Announcement, silent: bool) -> None:
+        """Tell all VMs about a target."""
+        for vm in self.vms.values():
+            notice = TargetChanged(self.clock.now, announcement, silent)
+            self.execute(vm, vm.router.handle(notice))
+
+    def execute(self, vm: Vm, outputs: list[Output]) -> None:
+        """Carry out the outputs of a router."""
+        for output in outputs:
+            match output:
+                case SlotAssigned() | SlotDenied():
+                    self.on_slot(vm, output)
+                case SetTimer():
+                    self._set_timer(vm, output)
+                case SendMessage():
+                    self._send(vm, output)
+
+    def delay_s(self, vm: Vm, region: str, centre: str) -> float:
+        """Return the one-way delay from a VM to a place."""
+        if vm.region != region:
+            return self.deployment.region_delay_s
+        if vm.data_centre != centre:
+            return self.deployment.centre_delay_s
+        return self.deployment.centre_delay_s / 10
+
+    def _start(self) -> None:
+        service = Service(SERVICE, FLOOR)  # type: ignore[arg-type]
+        configuration = Configuration(1, services={SERVICE: service})
+        for vm in self.vms.values():
+            self.execute(vm, vm.router.handle(Started(0, 0)))
+            notice = ConfigurationChanged(0, configuration)
+            self.execute(vm, vm.router.handle(notice))
+
+    def _set_timer(self, vm: Vm, effect: SetTimer) -> None:
+        number = vm.timers.get(effect.name, 0) + 1
+        vm.timers[effect.name] = number
+
+        def fire() -> None:  # noqa: WPS430 (scheduled call)
+            if vm.timers[effect.name] == number:
+                now = self.clock.now
+                event = TimerFired(now, effect.part, effect.name)
+                self.execute(vm, vm.router.handle(event))
+
+        self.clock.call_at(effect.at, fire)
+
+    def _send(self, vm: Vm, effect: SendMessage) -> None:
+        receiver = self.vms[effect.to]
+        raw = _CODEC.encode(vm.name, effect.message)
+        self.recorder.messages += 1
+        self.recorder.message_bytes += len(raw)
+
+        def deliver() -> None:  # noqa: WPS430 (scheduled call)
+            now = self.clock.now
+            event = MessageReceived(now, vm.name, effect.message)
+            self.execute(receiver, receiver.router.handle(event))
+
+        delay_s = self.delay_s(vm, receiver.region, receiver.data_centre)
+        self.clock.call_at(self.clock.now + delay_s, deliver)
+
+
+def _place_vms(deployment: Deployment) -> list[tuple[VmId, str, str]]:
+    places = []
+    for number in range(deployment.vms):
+        region = deployment.regions[number % len(deployment.regions)]
+        centre = number // len(deployment.regions) % 2 + 1
+        name = VmId(f'{region}-vm{number:03}')
+        places.append((name, region, f'{region}{centre}'))
+    return sorted(places)
+
+
+def _ignore(vm: Vm, notice: Any) -> None:
+    """Drop the notice."""
+
+
+__all__ = ('FLOOR', 'SERVICE', 'Clock', 'Fleet', 'Vm')
--- a/src/cranberryseam/routing/leading.py
+++ b/src/cranberryseam/routing/leading.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
+import attrs
+
 from ..core.effects import IncrementCounter, SendMessage, SetTimer, WriteLog
+from ..core.events import Announcement, TargetState
 from ..types import ServiceName
 from .messages import OutcomeReport, ServiceView
 from .model import PART, Leaders, Tuning
@@ -16,7 +20,6 @@
     from collections.abc import Iterable, Mapping
 
     from ..configuration.model import Service
-    from ..core.events import Announcement
     from ..types import Output, TargetId, VmId
 
 DECIDE = 'decide'
@@ -30,6 +33,18 @@
     return f'service:{service}'
 
 
+@attrs.frozen
+class _Known:
+    announcement: Announcement
+    silent: bool
+    ready_at: float
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes work."""
+        return self.announcement.state is TargetState.ready and not self.silent
+
+
 class Leading:
     """Pools of the led services, and their decisions."""
 
@@ -49,7 +64,8 @@
         self._ownership = ownership
         self._rng = rng
         self._services: Mapping[str, Service] = {}
-        self._announcements: dict[TargetId, tuple[Announcement, bool]] = {}
+        self._known: dict[TargetId, _Known] = {}
+        self._started_at: float = 0
         self._timer_set = False
 
     def configure(self, services: Mapping[str, Service]) -> None:
@@ -65,12 +81,13 @@
         if announcement.region != self._region:
             return
         name = announcement.target
-        self._announcements[name] = (announcement, silent)
+        known = _Known(announcement, silent, self._ready_at(name, at))
+        self._known[name] = known
         pool = self.pools.get(announcement.service)
         if pool is not None:
-            pool.update_target(announcement, silent, at)
-        if silent and announcement.state.value == 'draining':
-            self._announcements.pop(name)
+            pool.update_target(known.announcement, silent, known.ready_at)
+        if silent and announcement.state is TargetState.draining:
+            self._known.pop(name)
 
     def receive(
         self, sender: VmId, report: OutcomeReport, at: float
@@ -107,10 +124,22 @@
         for pool in self.pools.values():
             pool.forget_vm(vm)
 
+    def start(self, at: float) -> None:
+        """Remember when this VM started."""
+        self._started_at = at
+
     def stop(self) -> None:
         """Stop deciding; announced ejections expire by themselves."""
         self.pools.clear()
 
+    def _ready_at(self, name: TargetId, at: float) -> float:
+        before = self._known.get(name)
+        if before is None:
+            # Targets that were there before this VM are no cold starts.
+            new = at >= self._started_at + self._tuning.grace_s
+            return at if new else -math.inf
+        return before.ready_at if before.ready else at
+
     def _find_pool(self, report: OutcomeReport, at: float) -> Pool | None:
         name = ServiceName(report.service)
         pool = self.pools.get(name)
@@ -125,9 +154,11 @@
     def _create_pool(self, name: ServiceName, at: float) -> Pool:
         pool = Pool(name, self._tuning, self._rng, at)
         self._set_floor(pool)
-        for announcement, silent in self._announcements.values():
-            if announcement.service == name:
-                pool.update_target(announcement, silent, at)
+        for known in self._known.values():
+            if known.announcement.service == name:
+                pool.update_target(
+                    known.announcement, known.silent, known.ready_at
+                )
         self.pools[name] = pool
         return pool
 
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -102,6 +102,9 @@
     reports_per_tick
         Most reports (one per service and region) per tick; services with
         failures or ejections come first.
+    ejects, suspects
+        False switches the leader's ejections, or the preferences of each VM
+        on its own evidence, off; for comparisons.
 
     """
 
@@ -117,6 +120,7 @@
     choices: int = 2
     reports_per_tick: int = 6
     ejects: bool = True
+    suspects: bool = True
 
 
 __all__ = (
--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -90,21 +90,24 @@
         self._reporters: dict[VmId, _Reporter] = {}
 
     def update_target(
-        self, announcement: Announcement, silent: bool, at: float
+        self, announcement: Announcement, silent: bool, ready_at: float
     ) -> None:
-        """Take over an announcement."""
+        """Take over an announcement.
+
+        Parameters
+        ----------
+        ready_at
+            Time at which the target became ready after a cold start.
+
+        """
         subject = self.subjects.get(announcement.target)
         if subject is None:
-            subject = Subject(announcement, ready_at=at)
+            subject = Subject(announcement)
             self.subjects[announcement.target] = subject
             self._by_hash[hash_name(announcement.target)] = subject
-        was_ready = subject.ready
-        if silent and not subject.silent:
-            subject.silent_at = at
         subject.announcement = announcement
         subject.silent = silent
-        if subject.ready and not was_ready:
-            subject.ready_at = at
+        subject.ready_at = ready_at
 
     def receive(self, vm: VmId, report: OutcomeReport, at: float) -> None:
         """Store the rows of a report until the next decision."""
@@ -259,6 +262,7 @@
         for name in tuple(self.subjects):
             subject = self.subjects[name]
             if not subject.silent:
+                subject.silent_at = at
                 continue
             kept_s = 0 if subject.draining else _SILENT_KEPT_S
             if at >= subject.silent_at + kept_s:
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -201,8 +201,19 @@
             return None
         return latency.quantile_s(at, _HEDGE_SHARE)
 
+    def excluded_targets(
+        self, service: ServiceName, at: float
+    ) -> frozenset[TargetId]:
+        """Return the targets that this VM excludes now."""
+        state = self._services.get(service)
+        if state is None:
+            return frozenset()
+        state.near(at)
+        return frozenset(state.ejected)
+
     def _start(self, at: float) -> list[Output]:
         self._started_at = at
+        self._leading.start(at)
         # Random phase, so that the VMs' reports don't arrive at once.
         first = at + self._rng.random() * self._tuning.tick_s
         return [SetTimer(PART, TICK, first)]
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -148,6 +148,8 @@
     def _cost(self, target: Target) -> float:
         slots = target.announcement.slots * self._ramp(target)
         load = (target.in_use + target.others + 1) / slots
+        if not self._state.tuning.suspects:
+            return load
         return load + _SUSPICION_COST * target.suspicion
 
     def _ramp(self, target: Target) -> float:
