Pace attempts at targets that shed load

Change: a shed request returns to the head of its queue without a retry budget (may_retry takes the outcome); while a target sheds, each VM spaces its attempts there by a gap that adapts to sheds. Queues, not sheds, now decide who is served.

--- a/src/cranberryseam/experiments/policy_simulation.py
+++ b/src/cranberryseam/experiments/policy_simulation.py
@@ -46,7 +46,7 @@
     request: AdmitRequest
     vm: Vm
     sent_at: float
-    attempt: int = 1
+    attempts: int = 1
 
 
 class Simulation:
@@ -214,11 +214,12 @@
             self._recorder.count_answer(request.account, call.sent_at, now)
             self._calls.pop(request.request_id)
         elif self._may_retry(call, outcome):
-            call.attempt += 1
+            excluded = request.excluded
+            if outcome is not AttemptOutcome.shed:
+                call.attempts += 1
+                excluded |= {target}
             call.request = attrs.evolve(
-                request,
-                excluded=request.excluded | {target},
-                attempt=call.attempt,
+                request, excluded=excluded, attempt=request.attempt + 1
             )
             outputs = [*outputs, *vm.router.admit(call.request, now)]
         else:
@@ -228,12 +229,12 @@
 
     def _may_retry(self, call: _Call, outcome: AttemptOutcome) -> bool:
         request = call.request
-        if call.attempt >= _MOST_ATTEMPTS or outcome not in _RETRIED:
+        if call.attempts >= _MOST_ATTEMPTS or outcome not in _RETRIED:
             return False
         if outcome not in _NOT_RUN and not request.retriable:
             return False
         return call.vm.router.may_retry(
-            request.service, request.account, self._clock.now
+            request.service, request.account, self._clock.now, outcome
         )
 
     def _sample(self) -> None:
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -105,6 +105,7 @@
     ) -> SlotAssigned:
         assignment = Assignment(request, state, target, at)
         assignment.begin()
+        target.note_start(at, self._rng.random())
         self._assigned[request.request_id] = assignment
         announcement = target.announcement
         return SlotAssigned(
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -49,7 +49,6 @@
         if self.request.lane == LONG_LANE:
             target.in_use_long -= 1
         self.state.touched[target.announcement.target] = target
-        self.state.lane(self.request.lane).count_end()
 
     def learn(
         self,
@@ -63,12 +62,13 @@
         A rejected request says nothing about the target. A cancelled one
         does if the caller had waited several times longer than usual.
         """
-        if outcome is AttemptOutcome.rejected:
-            return
         if outcome is AttemptOutcome.shed:
             self.target.account_use(at).shed += 1
             self.target.back_off(at, rng.random())
             return
+        self.state.lane(self.request.lane).count_end()
+        if outcome is AttemptOutcome.rejected:
+            return
         slow = self._is_slow(at, took_s)
         if outcome is AttemptOutcome.cancelled:
             if slow:
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -52,6 +52,7 @@
         Output,
         RequestId,
         ServiceName,
+        TargetId,
     )
 
 TICK = 'tick'
@@ -183,9 +184,24 @@
         return self.release(request_id, AttemptOutcome.cancelled, at)
 
     def may_retry(
-        self, service: ServiceName, account: AccountId, at: float
+        self,
+        service: ServiceName,
+        account: AccountId,
+        at: float,
+        outcome: AttemptOutcome | None = None,
     ) -> bool:
-        """Take one unit of the retry budgets, if both have one."""
+        """Take one unit of the retry budgets, if both have one.
+
+        Parameters
+        ----------
+        outcome
+            How the attempt ended, if known. A shed attempt did no work, and
+            its retry waits for a slot like a new request, so it needs no
+            budget; its deadline bounds it.
+
+        """
+        if outcome is AttemptOutcome.shed:
+            return True
         return self._budgets.take(service, account, at)
 
     def hedge_delay_s(self, service: ServiceName, at: float) -> float | None:
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -139,10 +139,10 @@
 
     def _all_tried(self) -> bool:
         tried = self._request.excluded
+        near = self._near[_OWN_CENTRE] + self._near[_REGION]
         return all(
             target.announcement.target in tried
-            for group in self._near
-            for target in group
+            for target in near or self._near[_FAR]
         )
 
     def _cost(self, target: Target) -> float:
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -11,10 +11,16 @@
 from .messages import OutcomeRow
 
 _DECAY_S = 10.0
-_BACK_OFF_S = 0.02
-_MOST_BACK_OFF_S = 1.0
 _SHRINK = 0.7
-_MOST_SHEDS = 6
+# While a target sheds load, each VM spaces its attempts there by a gap that
+# grows with sheds and shrinks with successes: about half of them are shed.
+_FIRST_GAP_S = 0.02
+_LEAST_GAP_S = 0.005
+_MOST_GAP_S = 0.5
+_GAP_GROW = 1.15
+_GAP_SHRINK = 0.85
+_LEAST_JITTER = 0.5
+_SATURATED_S = 1.0
 _MS = 1000
 _HUNDREDTHS = 100
 _SUSPECT_FAILURES = 2.0
@@ -84,7 +90,8 @@
     used_at: float = 0
     limit: float = 1.0
     blocked_until: float = 0
-    sheds: int = 0
+    saturated_until: float = 0
+    gap_s: float = _FIRST_GAP_S
     others: float = 0
     own_mean: float = 0
     bad: float = 0
@@ -115,6 +122,15 @@
         """Return the estimated slots in use over the slots."""
         return (self.in_use + self.others) / self.announcement.slots
 
+    def note_start(self, at: float, jitter: float) -> None:
+        """Space the starts while the target sheds load.
+
+        Whoever frees a slot must not take it again at once: otherwise VMs
+        without a slot would never get one.
+        """
+        if at < self.saturated_until:
+            self.blocked_until = at + self.gap_s * (_LEAST_JITTER + jitter)
+
     def has_room(self, at: float) -> bool:
         """Return whether this VM may start one more request there."""
         return self.in_use < self.limit and at >= self.blocked_until
@@ -140,9 +156,9 @@
 
     def learn_success(self, took_s: float) -> None:
         """Allow more after a success, up to all slots."""
+        self.gap_s = max(_LEAST_GAP_S, self.gap_s * _GAP_SHRINK)
         share = _LATENCY_SHARE if self.latency_s else 1
         self.latency_s += share * (took_s - self.latency_s)
-        self.sheds = 0
         step = 1 / max(1.0, self.limit)
         self.limit = min(float(self.announcement.slots), self.limit + step)
 
@@ -156,10 +172,12 @@
             return together.
 
         """
+        if at >= self.saturated_until:
+            self.gap_s = _FIRST_GAP_S
+        self.saturated_until = at + _SATURATED_S
         self.limit = max(1.0, self.limit * _SHRINK)
-        pause = _BACK_OFF_S * 2**self.sheds * (0.5 + jitter)
-        self.sheds = min(_MOST_SHEDS, self.sheds + 1)
-        self.blocked_until = at + min(_MOST_BACK_OFF_S, pause)
+        self.gap_s = min(_MOST_GAP_S, self.gap_s * _GAP_GROW)
+        self.blocked_until = at + self.gap_s * (_LEAST_JITTER + jitter)
 
     def learn_load(self, pooled_hundredths: int) -> None:
         """Take over the mean use that the leader pooled from all VMs."""
--- a/src/cranberryseam/routing/waiting.py
+++ b/src/cranberryseam/routing/waiting.py
@@ -150,11 +150,11 @@
         return entry
 
     def _append(self, entry: Waiting) -> None:
+        if entry.request.attempt > 1:
+            self._put_back(entry)
+            return
         account = entry.request.account
-        flow = self._flows.get(account)
-        if flow is None:
-            flow = _Flow(finish=self._virtual)
-            self._flows[account] = flow
+        flow = self._flow(account)
         flow.weight = max(1, entry.request.weight)
         entry.tag = max(self._virtual, flow.finish)
         flow.finish = entry.tag + 1 / flow.weight
@@ -164,6 +164,25 @@
         if len(flow.entries) == 1:
             self._push_head(account, entry)
 
+    def _put_back(self, entry: Waiting) -> None:
+        # It was served before, but its target didn't take it: it keeps its
+        # place ahead of its account's others and isn't charged again.
+        account = entry.request.account
+        flow = self._flow(account)
+        entry.tag = self._virtual
+        flow.entries.appendleft(entry)
+        flow.live += 1
+        self._entries[entry.request.request_id] = entry
+        if len(flow.entries) == 1:
+            self._push_head(account, entry)
+
+    def _flow(self, account: str) -> _Flow:
+        flow = self._flows.get(account)
+        if flow is None:
+            flow = _Flow(finish=self._virtual)
+            self._flows[account] = flow
+        return flow
+
     def _push_head(self, account: str, entry: Waiting) -> None:
         self._serial += 1
         heapq.heappush(self._heads, (entry.tag, self._serial, account))
