Predict the wait from virtual time, not for retries

Cause: requests that came back from a target that shed them were refused with deadline_too_short by a wait that they do not have.

--- a/src/cranberryseam/routing/waiting.py
+++ b/src/cranberryseam/routing/waiting.py
@@ -94,11 +94,19 @@
 
     def ahead_of(self, request: AdmitRequest) -> int:
         """Return how many requests are served before a new one, at most."""
+        if request.attempt > 1:
+            return 0
         flow = self._flows.get(request.account)
         own = flow.live if flow else 0
-        fair = (own + 1) * max(1, len(self._heads))
+        # Its first request is served after the heads of the others, each
+        # further one after a round in which everyone takes its weight.
+        rounds = own / max(1, request.weight)
+        fair = len(self._heads) + round(rounds * self._active_weight())
         return min(len(self._entries), fair)
 
+    def _active_weight(self) -> int:
+        return sum(self._flows[head[2]].weight for head in self._heads)
+
     def pop(self, accept: Callable[[AdmitRequest], bool]) -> Waiting | None:
         """Remove and return the first request that is accepted.
 
