Adapt the pace of attempts additively

Cause: multiplicative growth and shrinking keep the ratio between the paces of two VMs, so the accounts of a slow VM were served too little. Change: pace per second, plus a step for a success, 10% less for a shed.

--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -12,13 +12,14 @@
 
 _DECAY_S = 10.0
 _SHRINK = 0.7
-# While a target sheds load, each VM spaces its attempts there by a gap that
-# grows with sheds and shrinks with successes: about half of them are shed.
-_FIRST_GAP_S = 0.02
-_LEAST_GAP_S = 0.005
-_MOST_GAP_S = 0.5
-_GAP_GROW = 1.1
-_GAP_SHRINK = 0.8
+# While a target sheds load, each VM paces its attempts there (per second):
+# one more for a success, a share less for a shed attempt. Additive growth
+# makes the paces of the VMs equal; a multiplicative one kept them apart.
+_FIRST_PACE = 20.0
+_LEAST_PACE = 1.0
+_MOST_PACE = 400.0
+_PACE_STEP = 4.0
+_PACE_SHRINK = 0.9
 _LEAST_JITTER = 0.5
 _SATURATED_S = 1.0
 _MS = 1000
@@ -91,7 +92,7 @@
     limit: float = 1.0
     blocked_until: float = 0
     saturated_until: float = 0
-    gap_s: float = _FIRST_GAP_S
+    pace: float = _FIRST_PACE
     others: float = 0
     own_mean: float = 0
     bad: float = 0
@@ -129,7 +130,7 @@
         without a slot would never get one.
         """
         if at < self.saturated_until:
-            self.blocked_until = at + self.gap_s * (_LEAST_JITTER + jitter)
+            self.blocked_until = at + (_LEAST_JITTER + jitter) / self.pace
 
     def has_room(self, at: float) -> bool:
         """Return whether this VM may start one more request there."""
@@ -156,7 +157,7 @@
 
     def learn_success(self, took_s: float) -> None:
         """Allow more after a success, up to all slots."""
-        self.gap_s = max(_LEAST_GAP_S, self.gap_s * _GAP_SHRINK)
+        self.pace = min(_MOST_PACE, self.pace + _PACE_STEP)
         share = _LATENCY_SHARE if self.latency_s else 1
         self.latency_s += share * (took_s - self.latency_s)
         step = 1 / max(1.0, self.limit)
@@ -173,11 +174,11 @@
 
         """
         if at >= self.saturated_until:
-            self.gap_s = _FIRST_GAP_S
+            self.pace = _FIRST_PACE
         self.saturated_until = at + _SATURATED_S
         self.limit = max(1.0, self.limit * _SHRINK)
-        self.gap_s = min(_MOST_GAP_S, self.gap_s * _GAP_GROW)
-        self.blocked_until = at + self.gap_s * (_LEAST_JITTER + jitter)
+        self.pace = max(_LEAST_PACE, self.pace * _PACE_SHRINK)
+        self.blocked_until = at + (_LEAST_JITTER + jitter) / self.pace
 
     def learn_load(self, pooled_hundredths: int) -> None:
         """Take over the mean use that the leader pooled from all VMs."""
