Let an account catch up after a pause

Cause: one VM sees so few requests of a small account that random bursts exceed its share there although the account stays below its rate. Change: an account may start up to 5 requests at once after a pause; the virtual start tag may lie that far in the past.

--- a/src/cranberryseam/routing/waiting.py
+++ b/src/cranberryseam/routing/waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,10 @@
 
 _HEADS_TRIED = 4
 _MOST_GONE = 16
+# Requests that an account may send at once after a pause without waiting for
+# its turn. A VM sees so few requests of a small account that their random
+# bursts would exceed its share although the account stays below it.
+_BURST = 5.0
 _MOST_IDLE_FLOWS = 1024
 
 
@@ -97,10 +102,10 @@
         if request.attempt > 1:
             return 0
         flow = self._flows.get(request.account)
-        own = flow.live if flow else 0
-        # Its first request is served after the heads of the others, each
-        # further one after a round in which everyone takes its weight.
-        rounds = own / max(1, request.weight)
+        if flow is None:
+            return min(len(self._entries), len(self._heads))
+        # Until the virtual time reaches its tag, everyone takes its weight.
+        rounds = max(0, flow.finish - self._virtual)
         fair = len(self._heads) + round(rounds * self._active_weight())
         return min(len(self._entries), fair)
 
@@ -164,7 +169,8 @@
         account = entry.request.account
         flow = self._flow(account)
         flow.weight = max(1, entry.request.weight)
-        entry.tag = max(self._virtual, flow.finish)
+        credit = _BURST / flow.weight
+        entry.tag = max(self._virtual - credit, flow.finish)
         flow.finish = entry.tag + 1 / flow.weight
         flow.entries.append(entry)
         flow.live += 1
@@ -187,7 +193,7 @@
     def _flow(self, account: str) -> _Flow:
         flow = self._flows.get(account)
         if flow is None:
-            flow = _Flow(finish=self._virtual)
+            flow = _Flow(finish=-math.inf)
             self._flows[account] = flow
         return flow
 
@@ -211,7 +217,7 @@
         self._flows = {
             name: flow
             for name, flow in self._flows.items()
-            if flow.entries or flow.finish > self._virtual
+            if flow.entries or flow.finish > self._virtual - _BURST
         }
 
     def _take_first(self, account: str) -> None:
