Count exclusions before the fault as false ejections

Cause: the driver sampled exclusions only after the fault had started, so an earlier false ejection would have been missed. Change: sample from the start of the run; runs can be shortened.

--- a/src/cranberryseam/experiments/policy.py
+++ b/src/cranberryseam/experiments/policy.py
@@ -46,6 +46,7 @@
     scenario: str
     policy: str
     seed: int
+    duration_s: float = 0
 
 
 def run_case(case: Case) -> RunResult:
@@ -55,6 +56,7 @@
         SCENARIOS[case.scenario],
         case.policy,
         case.seed,
+        case.duration_s,
     )
     return simulation.run()
 
@@ -97,6 +99,7 @@
     scenarios: str = '',
     output: str = '',
     processes: int = 4,
+    duration_s: float = 0,
 ) -> None:
     """Run policies in scenarios, print a table, write JSON.
 
@@ -108,6 +111,8 @@
         Names separated by commas; all by default.
     output
         File for the rows as JSON.
+    duration_s
+        Virtual seconds per run; 0 takes those of the scenario.
 
     """
     rows = []
@@ -116,7 +121,7 @@
         for scenario in _split(scenarios) or SCENARIOS:
             for policy in _split(policies) or POLICIES:
                 cases = [
-                    Case(deployment, scenario, policy, number)
+                    Case(deployment, scenario, policy, number, duration_s)
                     for number in range(seed, seed + runs)
                 ]
                 row = summarise(
--- a/src/cranberryseam/experiments/policy_baselines.py
+++ b/src/cranberryseam/experiments/policy_baselines.py
@@ -81,7 +81,7 @@
         """Return the targets that this VM excludes."""
         return {name for name, until in self.barred.items() if at < until}
 
-    def bar(self, target: TargetId, at: float) -> None:
+    def exclude(self, target: TargetId, at: float) -> None:
         """Exclude a target for a while, up to half of all."""
         barred = self.barred_at(at)
         if len(barred) < len(self._known) * _MOST_SHARE:
@@ -113,7 +113,7 @@
         self._errors[target] = self._errors[target] + 1 if bad else 0
         if self._errors[target] >= _CONSECUTIVE:
             self._errors[target] = 0
-            self.bar(target, at)
+            self.exclude(target, at)
 
 
 class SuccessRate(LocalEjection):
@@ -147,7 +147,7 @@
         mean = statistics.fmean(rates.values())
         for name, rate in rates.items():
             if deviation and rate < mean - _DEVIATIONS * deviation:
-                self.bar(name, at)
+                self.exclude(name, at)
 
 
 def create_pooled(
--- a/src/cranberryseam/experiments/policy_metrics.py
+++ b/src/cranberryseam/experiments/policy_metrics.py
@@ -41,6 +41,7 @@
     )
     refused: Counter[str] = attrs.field(factory=Counter)
     excluded_at: dict[TargetId, float] = attrs.field(factory=dict)
+    excluded_early: set[TargetId] = attrs.field(factory=set)
     under_floor: int = 0
     messages: int = 0
     message_bytes: int = 0
@@ -70,8 +71,13 @@
         self.starts[target][int(at / _BIN_S)] += 1
 
     def note_excluded(self, target: TargetId, at: float) -> None:
-        """Note the first exclusion of a target after the fault."""
-        if target not in self.excluded_at:
+        """Note the first exclusion of a target.
+
+        One before the fault started is false whatever the target does later.
+        """
+        if at < self.fault_at:
+            self.excluded_early.add(target)
+        elif target not in self.excluded_at:
             self.excluded_at[target] = at
 
     def diverted_s(self, target: TargetId) -> float | None:
--- a/src/cranberryseam/experiments/policy_simulation.py
+++ b/src/cranberryseam/experiments/policy_simulation.py
@@ -58,9 +58,11 @@
         scenario: Scenario,
         policy: str,
         seed: int,
+        duration_s: float = 0,
     ) -> None:
         """Create targets, VMs and callers."""
         self._scenario = scenario
+        self._duration_s = duration_s or scenario.duration_s
         self._rng = random.Random(seed)
         fault_at = _FAULT_AT + self._rng.random() * _FAULT_JITTER_S
         self._recorder = Recorder(fault_at)
@@ -80,8 +82,8 @@
         """Run to the end and return the figures."""
         for index in range(len(_WEIGHTS)):
             self._schedule_call(index)
-        self._clock.call_at(self._recorder.fault_at, self._sample)
-        self._clock.run_until(self._scenario.duration_s)
+        self._clock.call_at(0, self._sample)
+        self._clock.run_until(self._duration_s)
         return self._summarise()
 
     def _set_faults(self, fault_at: float) -> None:
@@ -269,14 +271,16 @@
             tallies.pop(f'account{_GREEDY}', None)
         if self._scenario.bad_account:
             tallies.pop(f'account{_BAD}', None)
-        vm_seconds = len(self._vms) * self._scenario.duration_s
+        vm_seconds = len(self._vms) * self._duration_s
         return RunResult(
             detected_s=tuple(
                 recorder.excluded_at[name] - recorder.fault_at for name in found
             ),
             missed=len(faulty) - len(found),
             diverted_s=tuple(s for s in diverted if s is not None),
-            false_ejections=len(recorder.excluded_at.keys() - faulty),
+            false_ejections=len(
+                recorder.excluded_early | (recorder.excluded_at.keys() - faulty)
+            ),
             under_floor=recorder.under_floor,
             worst_share=min(
                 tally.answered / max(1, tally.sent)
