--- a/src/cranberryseam/experiments/policy.py
+++ b/src/cranberryseam/experiments/policy.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import attrs
 import fire
@@ -19,6 +20,9 @@
 from .policy_scenarios import DEPLOYMENTS, SCENARIOS
 from .policy_simulation import Simulation
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 _COLUMNS = (
     'policy',
     'scenario',
@@ -36,6 +40,7 @@
 )
 _WIDTH = 12
 _DIGITS = 3
+_PROCESSES = 4
 
 
 @attrs.frozen
@@ -68,13 +73,11 @@
     found = [seconds for run in runs for seconds in run.detected_s]
     missed = sum(run.missed for run in runs)
     diverted = [seconds for run in runs for seconds in run.diverted_s]
-    refused: Counter[str] = Counter()
-    for run in runs:
-        refused.update(run.refused)
+    refused = sum((Counter(run.refused) for run in runs), Counter[str]())
     return {
         'policy': policy,
         'scenario': scenario,
-        'found': f'{len(found)}/{len(found) + missed}',
+        'found': '/'.join((str(len(found)), str(len(found) + missed))),
         'median_s': _round(statistics.median(found)) if found else None,
         'worst_s': _round(max(found)) if found else None,
         'diverted_s': _round(statistics.median(diverted)) if diverted else None,
@@ -98,7 +101,6 @@
     policies: str = '',
     scenarios: str = '',
     output: str = '',
-    processes: int = 4,
     duration_s: float = 0,
 ) -> None:
     """Run policies in scenarios, print a table, write JSON.
@@ -116,8 +118,8 @@
 
     """
     rows = []
-    print(' '.join(name.rjust(_WIDTH) for name in _COLUMNS))
-    with ProcessPoolExecutor(processes) as executor:
+    _print_cells(_COLUMNS)
+    with ProcessPoolExecutor(_PROCESSES) as executor:
         for scenario in _split(scenarios) or SCENARIOS:
             for policy in _split(policies) or POLICIES:
                 cases = [
@@ -144,8 +146,12 @@
 
 
 def _print_row(row: dict[str, object]) -> None:
-    cells = (str(row[name]).rjust(_WIDTH) for name in _COLUMNS)
-    print(' '.join(cells), flush=True)
+    _print_cells(str(row[name]) for name in _COLUMNS)
+
+
+def _print_cells(cells: Iterable[str]) -> None:
+    line = ' '.join(cell.rjust(_WIDTH) for cell in cells)
+    print(line, flush=True)  # noqa: WPS421 (output of a command)
 
 
 if __name__ == '__main__':
--- a/src/cranberryseam/experiments/policy_baselines.py
+++ b/src/cranberryseam/experiments/policy_baselines.py
@@ -5,7 +5,8 @@
 import random
 import statistics
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import attrs
@@ -164,11 +165,13 @@
     return Router(settings, ownership, rng, _OFF)
 
 
-POLICIES: dict[str, PolicyFactory] = {
-    'pooled': create_pooled,
-    'no_ejection': create_without_ejection,
-    'consecutive_errors': ConsecutiveErrors,
-    'success_rate': SuccessRate,
-}
+POLICIES: Mapping[str, PolicyFactory] = MappingProxyType(
+    {
+        'pooled': create_pooled,
+        'no_ejection': create_without_ejection,
+        'consecutive_errors': ConsecutiveErrors,
+        'success_rate': SuccessRate,
+    }
+)
 
 __all__ = ('POLICIES', 'LocalEjection', 'PolicyFactory')
--- a/src/cranberryseam/experiments/policy_metrics.py
+++ b/src/cranberryseam/experiments/policy_metrics.py
@@ -32,10 +32,14 @@
     ----------
     fault_at
         Time at which the fault starts; earlier requests aren't counted.
+    last_at
+        Time after which requests aren't counted, because the run may end
+        before their deadline.
 
     """
 
     fault_at: float
+    last_at: float
     accounts: dict[str, AccountTally] = attrs.field(
         factory=lambda: defaultdict(AccountTally)
     )
@@ -51,19 +55,19 @@
 
     def count_sent(self, account: str, at: float) -> None:
         """Count a caller's request."""
-        if at >= self.fault_at:
+        if self._counts(at):
             self.accounts[account].sent += 1
 
     def count_answer(self, account: str, sent_at: float, at: float) -> None:
         """Count an answer in time."""
-        if sent_at >= self.fault_at:
+        if self._counts(sent_at):
             tally = self.accounts[account]
             tally.answered += 1
             tally.latencies_s.append(at - sent_at)
 
     def count_refusal(self, reason: str, sent_at: float) -> None:
         """Count a request without a usable answer."""
-        if sent_at >= self.fault_at:
+        if self._counts(sent_at):
             self.refused[reason] += 1
 
     def count_start(self, target: TargetId, at: float) -> None:
@@ -91,6 +95,9 @@
                 return index * _BIN_S + _BIN_S - self.fault_at
         return None
 
+    def _counts(self, sent_at: float) -> bool:
+        return self.fault_at <= sent_at < self.last_at
+
 
 @attrs.frozen
 class RunResult:
--- a/src/cranberryseam/experiments/policy_scenarios.py
+++ b/src/cranberryseam/experiments/policy_scenarios.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
+
 import attrs
 
 from .policy_targets import Fault
 
+_KILIMO_DELAY_S = 0.0015
+_MALINAW_DELAY_S = 0.001
+_ALL_TARGETS = 12
+# Shares of what all slots can serve.
+_OVERLOAD = 1.3
+_BUSY = 0.8
+_RUSH = 0.9
+_RUSH_DEADLINE_S = 0.25
+_FLAPPING_S = 90.0
+
 
 @attrs.frozen
 class Deployment:
@@ -29,12 +41,19 @@
     region_delay_s: float = 0.03
 
 
-DEPLOYMENTS = {
-    'kilimo': Deployment('kilimo', ('aru', 'dar', 'mwz'), 0.0015, 4),
-    'malinaw': Deployment(
-        'malinaw', ('luzon', 'mindanao', 'visayas'), 0.001, 6
-    ),
-}
+_KILIMO = Deployment(
+    'kilimo',
+    regions=('aru', 'dar', 'mwz'),
+    centre_delay_s=_KILIMO_DELAY_S,
+    slots=4,
+)
+_MALINAW = Deployment(
+    'malinaw',
+    regions=('luzon', 'mindanao', 'visayas'),
+    centre_delay_s=_MALINAW_DELAY_S,
+    slots=6,
+)
+DEPLOYMENTS = MappingProxyType({'kilimo': _KILIMO, 'malinaw': _MALINAW})
 
 
 @attrs.frozen
@@ -74,22 +93,24 @@
 
 _SCENARIOS = (
     Scenario('healthy'),
-    Scenario('overloaded', load=1.3),
+    Scenario('overloaded', load=_OVERLOAD),
     Scenario('half_failing', Fault.half_failing, 1),
     Scenario('all_work_failing', Fault.all_failing, 1),
     Scenario('slow', Fault.slow, 1),
-    Scenario('flapping', Fault.flapping, 1, duration_s=90.0),
+    Scenario('flapping', Fault.flapping, 1, duration_s=_FLAPPING_S),
     Scenario('cold_start', Fault.cold, 1),
     Scenario('shedding', Fault.shedding, 1),
-    Scenario('every_target_failing', Fault.half_failing, 12),
+    Scenario('every_target_failing', Fault.half_failing, _ALL_TARGETS),
     Scenario('half_of_targets_failing', Fault.half_failing, 6),
     Scenario('one_path_broken', broken_path=True),
     Scenario('bad_account', bad_account=True),
     Scenario('lying_health', Fault.lying, 1),
-    Scenario('greedy_account', load=0.8, greedy=True),
-    Scenario('morning_rush', load=0.9, deadline_s=0.25),
+    Scenario('greedy_account', load=_BUSY, greedy=True),
+    Scenario('morning_rush', load=_RUSH, deadline_s=_RUSH_DEADLINE_S),
 )
 
-SCENARIOS = {scenario.name: scenario for scenario in _SCENARIOS}
+SCENARIOS = MappingProxyType(
+    {scenario.name: scenario for scenario in _SCENARIOS}
+)
 
 __all__ = ('DEPLOYMENTS', 'SCENARIOS', 'Deployment', 'Scenario')
--- a/src/cranberryseam/experiments/policy_simulation.py
+++ b/src/cranberryseam/experiments/policy_simulation.py
@@ -65,7 +65,9 @@
         self._duration_s = duration_s or scenario.duration_s
         self._rng = random.Random(seed)
         fault_at = _FAULT_AT + self._rng.random() * _FAULT_JITTER_S
-        self._recorder = Recorder(fault_at)
+        self._recorder = Recorder(
+            fault_at, self._duration_s - scenario.deadline_s
+        )
         self._fleet = Fleet(
             deployment, POLICIES[policy], self._rng, self._recorder
         )
@@ -80,7 +82,7 @@
 
     def run(self) -> RunResult:
         """Run to the end and return the figures."""
-        for index in range(len(_WEIGHTS)):
+        for index, _ in enumerate(_WEIGHTS):
             self._schedule_call(index)
         self._clock.call_at(0, self._sample)
         self._clock.run_until(self._duration_s)
@@ -277,7 +279,7 @@
                 recorder.excluded_at[name] - recorder.fault_at for name in found
             ),
             missed=len(faulty) - len(found),
-            diverted_s=tuple(s for s in diverted if s is not None),
+            diverted_s=tuple(at for at in diverted if at is not None),
             false_ejections=len(
                 recorder.excluded_early | (recorder.excluded_at.keys() - faulty)
             ),
--- a/src/cranberryseam/experiments/policy_targets.py
+++ b/src/cranberryseam/experiments/policy_targets.py
@@ -22,6 +22,8 @@
 _SLOW_FACTOR = 5.0
 _FLAP_S = 6.0
 _HALF = 0.5
+_PORT = 80
+_CONNECTIONS = 330
 _COLD_FACTOR = 3.0
 _COLD_FAILED = 0.1
 _REFUSED_S = 0.001
@@ -114,11 +116,11 @@
         target=target,  # type: ignore[arg-type]
         service='work',  # type: ignore[arg-type]
         host='192.0.2.1',
-        port=80,
+        port=_PORT,
         region=region,
         data_centre=data_centre,
         slots=slots,
-        connections=slots * 80,
+        connections=_CONNECTIONS,
         state=state,
         sequence=sequence,
     )
--- a/src/cranberryseam/experiments/policy_vms.py
+++ b/src/cranberryseam/experiments/policy_vms.py
@@ -52,8 +52,9 @@
     def run_until(self, end: float) -> None:
         """Run all calls up to a time."""
         while self._calls and self._calls[0][0] <= end:
-            self.now, _, call = heapq.heappop(self._calls)
-            call()
+            first = heapq.heappop(self._calls)
+            self.now = first[0]
+            first[2]()
 
 
 class FirstVmLeads:
@@ -190,7 +191,7 @@
     for number in range(deployment.vms):
         region = deployment.regions[number % len(deployment.regions)]
         centre = number // len(deployment.regions) % 2 + 1
-        name = VmId(f'{region}-vm{number:03}')
+        name = VmId(f'{region}-vm{number}')
         places.append((name, region, f'{region}{centre}'))
     return sorted(places)
 
--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -275,7 +275,7 @@
     subject: Subject, counts: Counts, failed: float, slow: float
 ) -> None:
     _test(subject.failed, FAILED, failed, counts.failed)
-    if subject.shed_rate.bad > subject.shed_rate.seen * _SHED_SHARE:
+    if subject.shed_batch.bad > subject.shed_batch.seen * _SHED_SHARE:
         # Slow and shedding is overload: less load, no ejection.
         subject.slow.reset()
     else:
--- a/src/cranberryseam/routing/subject.py
+++ b/src/cranberryseam/routing/subject.py
@@ -31,7 +31,7 @@
     slow_rate: Rate = attrs.field(factory=Rate)
     fail_batch: Rate = attrs.field(factory=Rate)
     slow_batch: Rate = attrs.field(factory=Rate)
-    shed_rate: Rate = attrs.field(factory=Rate)
+    shed_batch: Rate = attrs.field(factory=Rate)
 
     @property
     def ready(self) -> bool:
@@ -103,7 +103,7 @@
         subject.fail_batch.add(batch_kept, failed, seen)
         subject.slow_batch.add(batch_kept, slow, seen)
         shed = self.total_shed
-        subject.shed_rate.add(kept, shed, seen + shed)
+        subject.shed_batch.add(batch_kept, shed, seen + shed)
 
     def add_row(self, vm: VmId, row: OutcomeRow, failed: int) -> None:
         """Add one row with the failures that count."""
--- a/src/cranberryseam/routing/waiting.py
+++ b/src/cranberryseam/routing/waiting.py
@@ -109,9 +109,6 @@
         fair = len(self._heads) + round(rounds * self._active_weight())
         return min(len(self._entries), fair)
 
-    def _active_weight(self) -> int:
-        return sum(self._flows[head[2]].weight for head in self._heads)
-
     def pop(self, accept: Callable[[AdmitRequest], bool]) -> Waiting | None:
         """Remove and return the first request that is accepted.
 
@@ -146,6 +143,9 @@
                 flow.compact()
         return entry
 
+    def _active_weight(self) -> int:
+        return sum(self._flows[head[2]].weight for head in self._heads)
+
     def _displace(self, entry: Waiting) -> Waiting:
         longest = max(
             self._flows,
