--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -48,7 +48,11 @@
         target.in_use -= 1
         if self.request.lane == LONG_LANE:
             target.in_use_long -= 1
-        self.state.touched[target.announcement.target] = target
+        name = target.announcement.target
+        self.state.touched[name] = target
+        if target.silent and not target.in_use:
+            # Kept until now only for its requests in flight.
+            self.state.targets.pop(name, None)
 
     def learn(
         self,
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -318,8 +318,10 @@
             state = ServiceState(announcement.service, self._tuning)
             state.floor = self._floors.get(state.name, state.floor)
             self._services[state.name] = state
-        state.invalidate()
         target = state.targets.get(announcement.target)
+        if target is not None and target.repeats(announcement, silent):
+            return []
+        state.invalidate()
         if target is None:
             target = self._create_target(announcement, at)
             state.targets[announcement.target] = target
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -119,6 +119,12 @@
             return 0
         return self.bad / (self.seen + 1)
 
+    def repeats(self, announcement: Announcement, silent: bool) -> bool:
+        """Return whether an announcement says nothing new."""
+        before = self.announcement
+        same = attrs.evolve(announcement, sequence=before.sequence) == before
+        return same and silent == self.silent
+
     def occupancy(self) -> float:
         """Return the estimated slots in use over the slots."""
         return (self.in_use + self.others) / self.announcement.slots
