Serve the queue on each tick, and test preferences and trials

Cause: when an ejection expired, the requests that waited were served only after the next event of the service. Change: the tick serves the queues; tests for a target that fails for one VM, a cold target, and the trial of an ejected one; a scenario with 5 requests/s per target.

--- a/src/cranberryseam/experiments/policy_scale.py
+++ b/src/cranberryseam/experiments/policy_scale.py
@@ -135,9 +135,10 @@
 def _announce(number: int, services: int) -> Announcement:
     region = _REGIONS[number % len(_REGIONS)]
     centre = region + str(number // len(_REGIONS) % _CENTRES)
+    service = number % services
     return Announcement(
-        target=TargetId(f'target-{centre}-{number}'),
-        service=ServiceName(f'service{number % services}'),
+        target=TargetId('-'.join(('target', centre, str(number)))),
+        service=ServiceName(f'service{service}'),
         host='192.0.2.1',
         port=80,  # noqa: WPS432 (HTTP)
         region=region,
--- a/src/cranberryseam/experiments/policy_scenarios.py
+++ b/src/cranberryseam/experiments/policy_scenarios.py
@@ -17,6 +17,7 @@
 _RUSH = 0.9
 _RUSH_DEADLINE_S = 0.25
 _FLAPPING_S = 90.0
+_QUIET_RATE = 5.0
 
 
 @attrs.frozen
@@ -95,6 +96,7 @@
     Scenario('healthy'),
     Scenario('overloaded', load=_OVERLOAD),
     Scenario('half_failing', Fault.half_failing, 1),
+    Scenario('half_failing_quiet', Fault.half_failing, 1, rate=_QUIET_RATE),
     Scenario('all_work_failing', Fault.all_failing, 1),
     Scenario('slow', Fault.slow, 1),
     Scenario('flapping', Fault.flapping, 1, duration_s=_FLAPPING_S),
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -256,6 +256,8 @@
         for state in self._services.values():
             for lane in state.lanes.values():
                 lane.update_rate(self._tuning.tick_s)
+            # Ejections that have expired since free targets without an event.
+            outputs.extend(self._admission.dispatch(state, at))
         if at >= self._decayed_at + _ACCOUNT_DECAY_S:
             self._decayed_at = at
             for state in self._services.values():
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -13,14 +13,16 @@
 )
 
 from cranberryseam.core.commands import ShowTargets
-from cranberryseam.core.effects import SetTimer
+from cranberryseam.core.effects import SendMessage, SetTimer
 from cranberryseam.core.events import (
     CommandReceived,
+    MessageReceived,
     TargetState,
     TimerFired,
 )
 from cranberryseam.core.notices import TargetChanged
 from cranberryseam.routing import AttemptOutcome, Tuning
+from cranberryseam.routing.messages import EjectedRow, ServiceView
 
 OK = AttemptOutcome.succeeded
 
@@ -170,6 +172,62 @@
         self.assertEqual(1, len(assigned(router.admit(make_request(1), 1))))
 
 
+class PreferenceTest(testtools.TestCase):
+    """Guards against a target that one VM alone sees failing."""
+
+    def count_starts(
+        self, router: object, at: float, **changes: object
+    ) -> dict:
+        starts = {'t': 0, 'u': 0}
+        for number in range(1000, 1100):
+            out = assigned(router.admit(make_request(number, **changes), at))[0]
+            starts[out.target] += 1
+            router.release(number, OK, at + 0.01)
+        return starts
+
+    def test_failing_target_is_avoided_but_not_excluded(self) -> None:
+        router = create_router(announce('t'), announce('u'))
+        for number in range(40):
+            out = assigned(router.admit(make_request(number), 1))[0]
+            failed = out.target == 't'
+            outcome = AttemptOutcome.failed if failed else OK
+            router.release(number, outcome, 1.01)
+        self.assertEqual(frozenset(), router.excluded_targets('work', 2))
+        starts = self.count_starts(router, 2)
+        self.assertLess(starts['t'], starts['u'] / 2)
+
+    def test_cold_target_gets_fewer_requests(self) -> None:
+        cold = announce('t', state=TargetState.cold)
+        router = create_router(cold, announce('u'))
+        starts = self.count_starts(router, 1)
+        self.assertLess(starts['t'], starts['u'] / 2)
+
+    def test_trial_takes_one_retriable_request_at_a_time(self) -> None:
+        router = create_router(announce('t'), announce('u'), vm='v1')
+        router.admit(make_request(1), 0.5)
+        router.release(1, OK, 0.6)
+        sent = [
+            out
+            for out in router.handle(TimerFired(1, 'routing', 'tick'))
+            if isinstance(out, SendMessage)
+        ]
+        rows = (EjectedRow('t', 'failing', 30, True),)
+        echo = sent[0].message.sent_at
+        view = ServiceView('work', 'r', 1, echo, rows, ())
+        router.handle(MessageReceived(1.1, 'v0', view))
+        order = [
+            assigned(router.admit(make_request(*args, **changes), 1.2))[
+                0
+            ].target
+            for args, changes in (
+                ((2,), {'retriable': False}),
+                ((3,), {}),
+                ((4,), {}),
+            )
+        ]
+        self.assertEqual(['u', 't', 'u'], order)
+
+
 class LongLaneTest(testtools.TestCase):
     """Guards against long work in all slots."""
 
