--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -52,6 +52,7 @@
         Output,
         RequestId,
         ServiceName,
+        TargetId,
     )
 
 TICK = 'tick'
@@ -183,9 +184,24 @@
         return self.release(request_id, AttemptOutcome.cancelled, at)
 
     def may_retry(
-        self, service: ServiceName, account: AccountId, at: float
+        self,
+        service: ServiceName,
+        account: AccountId,
+        at: float,
+        outcome: AttemptOutcome | None = None,
     ) -> bool:
-        """Take one unit of the retry budgets, if both have one."""
+        """Take one unit of the retry budgets, if both have one.
+
+        Parameters
+        ----------
+        outcome
+            How the attempt ended, if known. A shed attempt did no work, and
+            its retry waits for a slot like a new request, so it needs no
+            budget; its deadline bounds it.
+
+        """
+        if outcome is AttemptOutcome.shed:
+            return True
         return self._budgets.take(service, account, at)
 
     def hedge_delay_s(self, service: ServiceName, at: float) -> float | None:
@@ -201,8 +217,19 @@
             return None
         return latency.quantile_s(at, _HEDGE_SHARE)
 
+    def excluded_targets(
+        self, service: ServiceName, at: float
+    ) -> frozenset[TargetId]:
+        """Return the targets that this VM excludes now."""
+        state = self._services.get(service)
+        if state is None:
+            return frozenset()
+        state.near(at)
+        return frozenset(state.ejected)
+
     def _start(self, at: float) -> list[Output]:
         self._started_at = at
+        self._leading.start(at)
         # Random phase, so that the VMs' reports don't arrive at once.
         first = at + self._rng.random() * self._tuning.tick_s
         return [SetTimer(PART, TICK, first)]
@@ -229,6 +256,8 @@
         for state in self._services.values():
             for lane in state.lanes.values():
                 lane.update_rate(self._tuning.tick_s)
+            # Ejections that have expired since free targets without an event.
+            outputs.extend(self._admission.dispatch(state, at))
         if at >= self._decayed_at + _ACCOUNT_DECAY_S:
             self._decayed_at = at
             for state in self._services.values():
@@ -291,8 +320,10 @@
             state = ServiceState(announcement.service, self._tuning)
             state.floor = self._floors.get(state.name, state.floor)
             self._services[state.name] = state
-        state.invalidate()
         target = state.targets.get(announcement.target)
+        if target is not None and target.repeats(announcement, silent):
+            return []
+        state.invalidate()
         if target is None:
             target = self._create_target(announcement, at)
             state.targets[announcement.target] = target
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -139,15 +139,17 @@
 
     def _all_tried(self) -> bool:
         tried = self._request.excluded
+        near = self._near[_OWN_CENTRE] + self._near[_REGION]
         return all(
             target.announcement.target in tried
-            for group in self._near
-            for target in group
+            for target in near or self._near[_FAR]
         )
 
     def _cost(self, target: Target) -> float:
         slots = target.announcement.slots * self._ramp(target)
         load = (target.in_use + target.others + 1) / slots
+        if not self._state.tuning.suspects:
+            return load
         return load + _SUSPICION_COST * target.suspicion
 
     def _ramp(self, target: Target) -> float:
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -11,10 +11,17 @@
 from .messages import OutcomeRow
 
 _DECAY_S = 10.0
-_BACK_OFF_S = 0.02
-_MOST_BACK_OFF_S = 1.0
 _SHRINK = 0.7
-_MOST_SHEDS = 6
+# While a target sheds load, each VM paces its attempts there (per second):
+# one more for a success, a share less for a shed attempt. Additive growth
+# makes the paces of the VMs equal; a multiplicative one kept them apart.
+_FIRST_PACE = 20.0
+_LEAST_PACE = 1.0
+_MOST_PACE = 400.0
+_PACE_STEP = 4.0
+_PACE_SHRINK = 0.9
+_LEAST_JITTER = 0.5
+_SATURATED_S = 1.0
 _MS = 1000
 _HUNDREDTHS = 100
 _SUSPECT_FAILURES = 2.0
@@ -84,7 +91,8 @@
     used_at: float = 0
     limit: float = 1.0
     blocked_until: float = 0
-    sheds: int = 0
+    saturated_until: float = 0
+    pace: float = _FIRST_PACE
     others: float = 0
     own_mean: float = 0
     bad: float = 0
@@ -111,10 +119,25 @@
             return 0
         return self.bad / (self.seen + 1)
 
+    def repeats(self, announcement: Announcement, silent: bool) -> bool:
+        """Return whether an announcement says nothing new."""
+        before = self.announcement
+        same = attrs.evolve(announcement, sequence=before.sequence) == before
+        return same and silent == self.silent
+
     def occupancy(self) -> float:
         """Return the estimated slots in use over the slots."""
         return (self.in_use + self.others) / self.announcement.slots
 
+    def note_start(self, at: float, jitter: float) -> None:
+        """Space the starts while the target sheds load.
+
+        Whoever frees a slot must not take it again at once: otherwise VMs
+        without a slot would never get one.
+        """
+        if at < self.saturated_until:
+            self.blocked_until = at + (_LEAST_JITTER + jitter) / self.pace
+
     def has_room(self, at: float) -> bool:
         """Return whether this VM may start one more request there."""
         return self.in_use < self.limit and at >= self.blocked_until
@@ -140,9 +163,9 @@
 
     def learn_success(self, took_s: float) -> None:
         """Allow more after a success, up to all slots."""
+        self.pace = min(_MOST_PACE, self.pace + _PACE_STEP)
         share = _LATENCY_SHARE if self.latency_s else 1
         self.latency_s += share * (took_s - self.latency_s)
-        self.sheds = 0
         step = 1 / max(1.0, self.limit)
         self.limit = min(float(self.announcement.slots), self.limit + step)
 
@@ -156,10 +179,12 @@
             return together.
 
         """
+        if at >= self.saturated_until:
+            self.pace = _FIRST_PACE
+        self.saturated_until = at + _SATURATED_S
         self.limit = max(1.0, self.limit * _SHRINK)
-        pause = _BACK_OFF_S * 2**self.sheds * (0.5 + jitter)
-        self.sheds = min(_MOST_SHEDS, self.sheds + 1)
-        self.blocked_until = at + min(_MOST_BACK_OFF_S, pause)
+        self.pace = max(_LEAST_PACE, self.pace * _PACE_SHRINK)
+        self.blocked_until = at + (_LEAST_JITTER + jitter) / self.pace
 
     def learn_load(self, pooled_hundredths: int) -> None:
         """Take over the mean use that the leader pooled from all VMs."""
--- a/src/cranberryseam/routing/waiting.py
+++ b/src/cranberryseam/routing/waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,10 @@
 
 _HEADS_TRIED = 4
 _MOST_GONE = 16
+# Requests that an account may send at once after a pause without waiting for
+# its turn. A VM sees so few requests of a small account that their random
+# bursts would exceed its share although the account stays below it.
+_BURST = 5.0
 _MOST_IDLE_FLOWS = 1024
 
 
@@ -94,9 +99,14 @@
 
     def ahead_of(self, request: AdmitRequest) -> int:
         """Return how many requests are served before a new one, at most."""
+        if request.attempt > 1:
+            return 0
         flow = self._flows.get(request.account)
-        own = flow.live if flow else 0
-        fair = (own + 1) * max(1, len(self._heads))
+        if flow is None:
+            return min(len(self._entries), len(self._heads))
+        # Until the virtual time reaches its tag, everyone takes its weight.
+        rounds = max(0, flow.finish - self._virtual)
+        fair = len(self._heads) + round(rounds * self._active_weight())
         return min(len(self._entries), fair)
 
     def pop(self, accept: Callable[[AdmitRequest], bool]) -> Waiting | None:
@@ -133,6 +143,9 @@
                 flow.compact()
         return entry
 
+    def _active_weight(self) -> int:
+        return sum(self._flows[head[2]].weight for head in self._heads)
+
     def _displace(self, entry: Waiting) -> Waiting:
         longest = max(
             self._flows,
@@ -150,13 +163,14 @@
         return entry
 
     def _append(self, entry: Waiting) -> None:
+        if entry.request.attempt > 1:
+            self._put_back(entry)
+            return
         account = entry.request.account
-        flow = self._flows.get(account)
-        if flow is None:
-            flow = _Flow(finish=self._virtual)
-            self._flows[account] = flow
+        flow = self._flow(account)
         flow.weight = max(1, entry.request.weight)
-        entry.tag = max(self._virtual, flow.finish)
+        credit = _BURST / flow.weight
+        entry.tag = max(self._virtual - credit, flow.finish)
         flow.finish = entry.tag + 1 / flow.weight
         flow.entries.append(entry)
         flow.live += 1
@@ -164,6 +178,25 @@
         if len(flow.entries) == 1:
             self._push_head(account, entry)
 
+    def _put_back(self, entry: Waiting) -> None:
+        # It was served before, but its target didn't take it: it keeps its
+        # place ahead of its account's others and isn't charged again.
+        account = entry.request.account
+        flow = self._flow(account)
+        entry.tag = self._virtual
+        flow.entries.appendleft(entry)
+        flow.live += 1
+        self._entries[entry.request.request_id] = entry
+        if len(flow.entries) == 1:
+            self._push_head(account, entry)
+
+    def _flow(self, account: str) -> _Flow:
+        flow = self._flows.get(account)
+        if flow is None:
+            flow = _Flow(finish=-math.inf)
+            self._flows[account] = flow
+        return flow
+
     def _push_head(self, account: str, entry: Waiting) -> None:
         self._serial += 1
         heapq.heappush(self._heads, (entry.tag, self._serial, account))
@@ -184,7 +217,7 @@
         self._flows = {
             name: flow
             for name, flow in self._flows.items()
-            if flow.entries or flow.finish > self._virtual
+            if flow.entries or flow.finish > self._virtual - _BURST
         }
 
     def _take_first(self, account: str) -> None:
