--- a/src/cranberryseam/experiments/demo.py
+++ b/src/cranberryseam/experiments/demo.py
@@ -113,7 +113,7 @@
     ask(demo, 'POST', '/v1/fleet/initialise')
     wait_for('configuration', lambda: apply_lists(demo))
     for account in ('asha', 'zuri', 'bahari'):
-        demo.keys[account] = grant_key(demo, account)
+        demo.keys[account] = grant_key(demo, account, account)
     wait_for('entry VMs', lambda: all(map(is_ready, layout.entry)))
     wait_for('targets', lambda: sees_all_targets(demo))
     wait_for('replica group', lambda: anyio.run(can_order, demo))
@@ -182,12 +182,12 @@
     return demo.client.ask_any('POST', '/v1/lists', body).is_ok()
 
 
-def grant_key(demo: Demo, account: str) -> str:
-    """Grant a key with the name of its account and return it."""
+def grant_key(demo: Demo, key_id: str, account: str) -> str:
+    """Grant a key and return it."""
     key = generate_key()
     body = {
-        'command_key': f'grant-{account}',
-        'key_id': account,
+        'command_key': f'grant-{key_id}',
+        'key_id': key_id,
         'account': account,
         'key_hash': hash_key(key).hex(),
     }
--- a/tests/fleet/fleet_fixtures.py
+++ b/tests/fleet/fleet_fixtures.py
@@ -4,8 +4,6 @@
 
 import hashlib
 
-from fleet_network import Network
-
 from cranberryseam.configuration.entries import (
     Entry,
     FleetInitialised,
@@ -20,6 +18,8 @@
 )
 from cranberryseam.core.notices import EntryCommitted
 
+from .fleet_network import Network
+
 TARGET_KEY = hashlib.sha256(b'target').digest()
 CALLER_KEY = hashlib.sha256(b'caller').digest()
 FIRST_ENTRIES = (
--- a/tests/fleet/test_fleet_configuration.py
+++ b/tests/fleet/test_fleet_configuration.py
@@ -7,8 +7,6 @@
 from functools import partial
 
 import testtools
-from fleet_fixtures import FIRST_ENTRIES, build, commit, have_version
-from fleet_network import Network
 from parameterized import parameterized
 
 from cranberryseam.configuration.entries import KeyGranted, apply_entry
@@ -20,6 +18,9 @@
 from cranberryseam.fleet.outbox import Outbox
 from cranberryseam.fleet.start import PeerAnswer, StartRule
 
+from .fleet_fixtures import FIRST_ENTRIES, build, commit, have_version
+from .fleet_network import Network
+
 
 def _grant(number: int) -> KeyGranted:
     key = f'{number}'
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -6,8 +6,6 @@
 
 import msgspec
 import testtools
-from fleet_fixtures import build
-from fleet_network import Network
 from parameterized import parameterized
 
 from cranberryseam.core.commands import ShowFleet
@@ -23,6 +21,9 @@
 from cranberryseam.fleet.messages import MemberRecord
 from cranberryseam.fleet.outbox import Outbox
 
+from .fleet_fixtures import build
+from .fleet_network import Network
+
 
 def _record(incarnation: int, status: int, name: str = 'b') -> MemberRecord:
     return MemberRecord(
--- a/tests/fleet/test_fleet_targets.py
+++ b/tests/fleet/test_fleet_targets.py
@@ -6,8 +6,6 @@
 from functools import partial
 
 import testtools
-from fleet_fixtures import announce, build, keep_announcing
-from fleet_network import Network
 from parameterized import parameterized
 
 from cranberryseam.core.events import TargetState
@@ -19,6 +17,9 @@
     TargetKeyRefused,
 )
 
+from .fleet_fixtures import announce, build, keep_announcing
+from .fleet_network import Network
+
 
 def _all(network: Network, **expected: object) -> bool:
     for vm in network.vms.values():
--- a/tests/fleet/test_fleet_traffic.py
+++ b/tests/fleet/test_fleet_traffic.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import testtools
-from fleet_fixtures import build
 from parameterized import parameterized
 
+from .fleet_fixtures import build
+
 _LIMIT_BYTES_S = 2048
 _SECONDS = 20
 
--- a/tests/fleet/test_fleet_withdrawals.py
+++ b/tests/fleet/test_fleet_withdrawals.py
@@ -7,8 +7,6 @@
 from functools import partial
 
 import testtools
-from fleet_fixtures import CALLER_KEY, build, commit
-from fleet_network import Network
 from parameterized import parameterized
 
 from cranberryseam.configuration.entries import KeyWithdrawn
@@ -19,6 +17,9 @@
 from cranberryseam.fleet.withdrawals import WithdrawalSet
 from cranberryseam.types import KeyId
 
+from .fleet_fixtures import CALLER_KEY, build, commit
+from .fleet_network import Network
+
 
 def _refused(network: Network) -> bool:
     return all(
--- a/tests/routing/test_detection.py
+++ b/tests/routing/test_detection.py
@@ -6,7 +6,6 @@
 
 import testtools
 from parameterized import parameterized
-from routing_support import announce
 
 from cranberryseam.core.events import TargetState
 from cranberryseam.routing.accounts import AccountEvidence
@@ -22,6 +21,8 @@
 from cranberryseam.routing.target import hash_name
 from cranberryseam.routing.views import RegionView
 
+from .routing_support import announce
+
 NAMES = tuple(f't{number}' for number in range(8))
 VMS = tuple(f'v{number}' for number in range(6))
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -4,13 +4,6 @@
 
 import testtools
 from parameterized import parameterized
-from routing_support import (
-    announce,
-    assigned,
-    create_router,
-    denied,
-    make_request,
-)
 
 from cranberryseam.core.commands import ShowTargets
 from cranberryseam.core.effects import SendMessage, SetTimer
@@ -24,6 +17,14 @@
 from cranberryseam.routing import AttemptOutcome, Tuning
 from cranberryseam.routing.messages import EjectedRow, ServiceView
 
+from .routing_support import (
+    announce,
+    assigned,
+    create_router,
+    denied,
+    make_request,
+)
+
 OK = AttemptOutcome.succeeded
 
 
--- a/tests/routing/test_waiting.py
+++ b/tests/routing/test_waiting.py
@@ -5,10 +5,11 @@
 from collections import Counter
 
 import testtools
-from routing_support import make_request
 
 from cranberryseam.routing.waiting import FairQueue, Waiting
 
+from .routing_support import make_request
+
 
 def fill(queue: FairQueue, account: str, count: int, weight: int = 1) -> None:
     for _ in range(count):
