--- a/src/cranberryseam/ownership/part.py
+++ b/src/cranberryseam/ownership/part.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeGuard
 
 from ..core.effects import SendMessage, SetTimer
 from ..core.events import (
@@ -18,7 +18,7 @@
 from .groups import GroupIndex
 from .loopback import deliver_to_self
 from .member import PART, Member
-from .messages import LeaderAsked, LeaderTold
+from .messages import MESSAGES, LeaderAsked, LeaderTold
 
 if TYPE_CHECKING:
     import random
@@ -49,8 +49,12 @@
         self._directory = LeaderDirectory()
 
     def handle(self, event: Event | Notice) -> list[Output]:
-        """Apply one event."""
-        if not isinstance(event, Event):
+        """Apply one event.
+
+        Events of other parts are skipped, as they are most of all events;
+        ``is_leader`` and ``term_of`` look at the time themselves.
+        """
+        if not _concerns_ownership(event):
             return []
         outputs: list[Output] = []
         for member in self._members.values():
@@ -174,4 +178,13 @@
         return notices
 
 
+def _concerns_ownership(event: Event | Notice) -> TypeGuard[Event]:
+    match event:
+        case MessageReceived(message=message):
+            return isinstance(message, MESSAGES)
+        case TimerFired(part=part):
+            return part == PART
+    return isinstance(event, Started | StopRequested)
+
+
 __all__ = ('Ownership',)
