Check that every request of a running process is answered

Cause: the schedules counted unanswered requests without telling those of lost processes from ones that a running process forgot.

Change: only running processes count, and the count must be 0.

Conclusion: unanswered requests belong to restarted or frozen VMs.

--- a/tests/idempotency/schedules.py
+++ b/tests/idempotency/schedules.py
@@ -156,6 +156,18 @@
         )
 
 
+def count_unanswered(callers: Callers) -> int:
+    """Return the requests without an answer whose process still runs."""
+    fleet = callers.fleet
+    return sum(
+        fleet.vms[sent.vm].run == sent.run
+        and not fleet.vms[sent.vm].down
+        and fleet.now > fleet.vms[sent.vm].frozen_until + 4
+        for sent in callers.requests.values()
+        if not sent.answers
+    )
+
+
 def make_fleet(
     seed: int, *, initialised: bool = True, drift: float = 0.01
 ) -> tuple[Fleet, Callers]:
--- a/tests/idempotency/test_part.py
+++ b/tests/idempotency/test_part.py
@@ -24,7 +24,13 @@
 from cranberryseam.idempotency.replica import Replica
 from cranberryseam.types import AccountId, Output, RequestId
 
-from .schedules import Callers, make_fleet, run_faulty, run_healthy
+from .schedules import (
+    Callers,
+    count_unanswered,
+    make_fleet,
+    run_faulty,
+    run_healthy,
+)
 
 # The full count is in benchmarks/claim_schedules.py.
 _SEEDS = 25
@@ -39,7 +45,9 @@
     def test_faulty(self, first: int) -> None:
         """No fault leads to a second grant or to an untrue answer."""
         for seed in range(first, first + 5):
-            self.assertEqual(_count_wrong(run_faulty(seed)), 0, seed)
+            callers = run_faulty(seed)
+            self.assertEqual(_count_wrong(callers), 0, seed)
+            self.assertEqual(count_unanswered(callers), 0, seed)
 
     def test_healthy(self) -> None:
         """Without faults every request is answered from its first run."""
--- a/tests/limits/schedules.py
+++ b/tests/limits/schedules.py
@@ -63,6 +63,8 @@
     ----------
     excess
         Admissions that one bucket for the whole fleet would have refused.
+    unanswered
+        Requests without an answer whose process is still running.
     entitled
         Requests that such a bucket admits, if it sees all of them.
     denied_in_rate
@@ -85,6 +87,7 @@
 
     fleet: Fleet
     accounts: dict[int, tuple[str, float]] = attrs.field(factory=dict)
+    processes: list[tuple[str, int]] = attrs.field(factory=list)
     log: list[tuple[float, int, Notice]] = attrs.field(factory=list)
 
     def listen(self, now: float, _vm: str, notice: Notice) -> None:
@@ -94,6 +97,7 @@
     def acquire(self, vm: str, account: str) -> None:
         request = len(self.accounts)
         self.accounts[request] = (account, self.fleet.now)
+        self.processes.append((vm, self.fleet.vms[vm].run))
         self.fleet.acquire(vm, request, account)
 
     def judge(
@@ -127,9 +131,20 @@
                 continue
             result.denied[notice.reason.value] += 1
             result.denied_in_rate[account] += request in entitled
-        result.unanswered = len(self.accounts) - len(answered)
+        result.unanswered = sum(
+            self._is_running(request)
+            for request in self.accounts
+            if request not in answered
+        )
         return result
 
+    def _is_running(self, request: int) -> bool:
+        """Return whether the process of a request is still at work."""
+        name, run = self.processes[request]
+        vm = self.fleet.vms[name]
+        frozen = self.fleet.now < vm.frozen_until + 1
+        return vm.run == run and not (vm.down or frozen)
+
     def _list_entitled(self, result: Result) -> set[int]:
         """Return the requests that one bucket of the fleet admits."""
         buckets = _make_buckets(self.log[0][0])
--- a/tests/limits/test_part.py
+++ b/tests/limits/test_part.py
@@ -47,6 +47,7 @@
         results = [run_faulty(seed) for seed in range(first, first + 10)]
         totals = sum_results(results)
         self.assertEqual(totals['excess'], 0, totals)
+        self.assertEqual(totals['unanswered'], 0, totals)
 
     def test_stale_answer(self) -> None:
         """Tokens that waited in a frozen VM's buffer are not used."""
