--- a/src/cranberryseam/experiments/demo_lists.py
+++ b/src/cranberryseam/experiments/demo_lists.py
@@ -52,8 +52,8 @@
 deadline = "8s"
 
 [plans.trader]
-rate = "100/s"
-burst = 50
+rate = "1000/s"
+burst = 1000
 weight = 1
 routes = ["catalogue", "orders"]
 
