--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -155,7 +155,7 @@
         elapsed = max(at - self.decided_at, 1 / _MS)
         self.decided_at = at
         self._forget_old(at)
-        healthy_failed, healthy_slow = self._count_rows(elapsed)
+        healthy_failed = self._count_rows(elapsed)
         known = self._known()
         lifted = self.ejections.lift_to_floor(known, self.floor, at)
         if healthy_failed >= _MASS_RATE:
@@ -167,7 +167,7 @@
             self.subjects[name].failed.reset()
             self.subjects[name].slow.reset()
         ejected: list[TargetId] = []
-        if self._may_eject(at, max(healthy_failed, healthy_slow)):
+        if self._may_eject(at, healthy_failed):
             ejected = self._eject(at)
         return Decision(tuple(ejected), tuple(returned), tuple(lifted))
 
@@ -219,7 +219,7 @@
             for subject in self.subjects.values()
         ]
 
-    def _count_rows(self, elapsed: float) -> tuple[float, float]:
+    def _count_rows(self, elapsed: float) -> float:
         kept = forget_factor(elapsed)
         batch_kept = forget_factor(elapsed * _BATCH_SPEED)
         counted = {}
@@ -232,8 +232,15 @@
             if tested in self.ejections.active:
                 self._count_trial(tested, seen)
             else:
-                _test_one(self.subjects[tested], seen, failed, slow)
-        return failed, slow
+                self._test(tested, seen, failed, slow)
+        return failed
+
+    def _test(
+        self, name: TargetId, counts: Counts, failed: float, slow: float
+    ) -> None:
+        subject = self.subjects[name]
+        _test(subject.failed, FAILED, failed, counts.failed)
+        _test(subject.slow, SLOW, slow, counts.slow)
 
     def _baselines(self) -> tuple[float, float]:
         active = [
@@ -249,7 +256,10 @@
             [subject.slow_rate for subject in active],
             [subject.slow_batch for subject in active],
         )
-        return failed, slow
+        shed = healthy_rate(subject.shed_batch for subject in active)
+        # While the better half sheds, slowness comes from the load. A single
+        # target that sheds may do so because it is slow.
+        return failed, 1 if shed > _SHED_SHARE else slow
 
     def _count_trial(self, name: TargetId, counts: Counts) -> None:
         bad = counts.bad_of(self.ejections.active[name].reason)
@@ -271,17 +281,6 @@
                 self.ejections.forget(name)
 
 
-def _test_one(
-    subject: Subject, counts: Counts, failed: float, slow: float
-) -> None:
-    _test(subject.failed, FAILED, failed, counts.failed)
-    if subject.shed_batch.bad > subject.shed_batch.seen * _SHED_SHARE:
-        # Slow and shedding is overload: less load, no ejection.
-        subject.slow.reset()
-    else:
-        _test(subject.slow, SLOW, slow, counts.slow)
-
-
 def _test(
     score: Score,
     hypotheses: Hypotheses,
