Don't carry the score of a cold start over its grace

Change: the scores of a target in its grace stay at zero. The extended unit test fails without the change.

--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -205,14 +205,16 @@
         held = self.ejections.held(at)
         if name in held or not subject.ready:
             return False
-        if at < subject.ready_at + self._tuning.grace_s:
-            return False
         needed = self._tuning.threshold * self._tuning.rest_share
         if score.rest() < needed:
             return False
         capacity = measure_capacity(self._known(), held)
         return capacity.allows_loss(subject.announcement.slots, self.floor)
 
+    def _is_warming_up(self, subject: Subject) -> bool:
+        ready_s = self.decided_at - subject.ready_at
+        return not subject.ready or ready_s < self._tuning.grace_s
+
     def _known(self) -> list[tuple[Announcement, bool]]:
         return [
             (subject.announcement, subject.silent)
@@ -239,6 +241,11 @@
         self, name: TargetId, counts: Counts, failed: float, slow: float
     ) -> None:
         subject = self.subjects[name]
+        if self._is_warming_up(subject):
+            # Otherwise the score of its cold start ejects it afterwards.
+            subject.failed.reset()
+            subject.slow.reset()
+            return
         _test(subject.failed, FAILED, failed, counts.failed)
         _test(subject.slow, SLOW, slow, counts.slow)
 
--- a/tests/routing/test_detection.py
+++ b/tests/routing/test_detection.py
@@ -107,6 +107,8 @@
         driver.run(10)
         driver.pool.update_target(announce('t1'), False, driver.at)
         self.assertEqual([], driver.run(9, targets={'t1'}))
+        self.assertEqual([], driver.run(5), 'ejected for its cold start')
+        self.assertEqual(['t1'], driver.run(5, targets={'t1'}))
 
     @parameterized.expand([(0.5, 4), (0.7, 2), (1.0, 0)])
     def test_floor(self, floor: float, most: int) -> None:
