--- a/tests/routing/test_detection.py
+++ b/tests/routing/test_detection.py
@@ -62,7 +62,7 @@
             2 - failed,
             failed,
             slow,
-            faults.get('shed', 0) if hit else 0,
+            faults.get('shed', 0) if hit else faults.get('shed_by_all', 0),
             100,
             account if failed else 0,
             failed,
@@ -78,10 +78,16 @@
             ('failing', {'targets': {'t1'}}, {'t1'}),
             ('slow', {'targets': {'t1'}, 'kind': 'slow'}, {'t1'}),
             (
-                'slow_and_shedding_is_overload',
+                'slow_and_shedding_alone_is_slow',
                 {'targets': {'t1'}, 'kind': 'slow', 'shed': 4},
+                {'t1'},
+            ),
+            (
+                'slow_while_all_shed_is_overload',
+                {'targets': {'t1'}, 'kind': 'slow', 'shed_by_all': 4},
                 set(),
             ),
+            ('shedding_alone_is_no_fault', {'shed_by_all': 4}, set()),
             ('two', {'targets': {'t1', 't2'}}, {'t1', 't2'}),
             ('one_vm_only', {'targets': {'t1'}, 'vms': {0}}, set()),
             ('all', {'targets': set(NAMES)}, set()),
@@ -102,6 +108,8 @@
         driver.run(10)
         driver.pool.update_target(announce('t1'), False, driver.at)
         self.assertEqual([], driver.run(9, targets={'t1'}))
+        self.assertEqual([], driver.run(5), 'ejected for its cold start')
+        self.assertEqual(['t1'], driver.run(5, targets={'t1'}))
 
     @parameterized.expand([(0.5, 4), (0.7, 2), (1.0, 0)])
     def test_floor(self, floor: float, most: int) -> None:
