End rights, not promises, when the wall clock steps forward

Cause: forward steps of the wall clock were added to the reducer's time, so that a pause of the VM ends leases. A correction of one voter's clock then ended its promise early, and two leaders of a replica group were possible (found in review of the ownership part, by reading, not by a run). Ruled out: telling a pause from a correction, since the clocks show the same. Change: the clock reports a step as PauseSuspected before the next event. Leaders give up, leased tokens are dropped and keys are stale until a ping sent afterwards is answered; promises of voters run on.

--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -21,7 +21,7 @@
 from .requests.coordinator import PART as REQUESTS_PART
 from .requests.coordinator import Coordinator
 
-_LIFECYCLE = (ev.Started, ev.StopRequested)
+_LIFECYCLE = (ev.Started, ev.StopRequested, ev.PauseSuspected)
 _CHANGES = (nt.ConfigurationChanged, nt.MemberChanged)
 
 MESSAGES: tuple[type[Message], ...] = (
--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -70,6 +70,25 @@
     sync_id: int
 
 
+@attrs.frozen
+class PauseSuspected(Event):
+    """The wall clock stepped forward, perhaps because the VM was paused.
+
+    ``at`` doesn't contain the step, because it may be a correction of the
+    clock, and promises to others must not end early by it. Rights that this
+    VM holds for a time (leases, tokens, key freshness) end at once, because
+    the time may really have passed.
+
+    Parameters
+    ----------
+    by_s
+        Size of the step in seconds.
+
+    """
+
+    by_s: float
+
+
 @attrs.frozen
 class StopRequested(Event):
     """The process was asked to drain and stop (SIGTERM)."""
@@ -259,6 +278,7 @@
     'CommandReceived',
     'Event',
     'MessageReceived',
+    'PauseSuspected',
     'RequestArrived',
     'RequestHead',
     'Started',
--- a/src/cranberryseam/daemon/clock.py
+++ b/src/cranberryseam/daemon/clock.py
@@ -17,11 +17,12 @@
 
 
 class Clock:
-    """A clock that never goes back and also counts pauses of the VM.
+    """A clock that never goes back and notices pauses of the VM.
 
-    The clock of a guest may stand still while the hypervisor pauses the VM; the
-    wall clock is corrected afterwards. Its forward steps are therefore added.
-    A wrong step only ends leases early, which is safe.
+    Time that the system was suspended counts. The clock of a guest may also
+    stand still while the hypervisor pauses the VM; afterwards the wall clock
+    is corrected. Such a step can't be told from a correction of a wrong wall
+    clock, so it isn't added to the time but reported.
 
     Parameters
     ----------
@@ -38,9 +39,9 @@
         """Start at the time since boot."""
         self._read_boot = read_boot
         self._read_wall = read_wall
-        self._paused_s: float = 0
         self._latest = read_boot()
         self._offset = read_wall() - self._latest
+        self._paused_s: float = 0
 
     def read(self) -> float:
         """Return the time in seconds; it never decreases."""
@@ -50,8 +51,14 @@
         self._offset = offset
         if step > PAUSE_S:
             self._paused_s += step
-        self._latest = max(self._latest, boot + self._paused_s)
+        self._latest = max(self._latest, boot)
         return self._latest
 
+    def take_pause(self) -> float:
+        """Return the forward steps of the wall clock since the last call."""
+        paused_s = self._paused_s
+        self._paused_s = 0
+        return paused_s
+
 
 __all__ = ('Clock',)
--- a/src/cranberryseam/daemon/executor.py
+++ b/src/cranberryseam/daemon/executor.py
@@ -8,8 +8,9 @@
 from typing import Protocol
 
 from ..core.effects import Effect, IncrementCounter, StopProcess, WriteLog
-from ..core.events import Event
+from ..core.events import Event, PauseSuspected
 from ..core.node import Node
+from .clock import Clock
 from .metrics import Metrics
 
 _logger = logging.getLogger('cranberryseam')
@@ -29,6 +30,8 @@
     ----------
     node
         The reducer.
+    clock
+        Clock that the times of events come from.
     metrics
         Takes the counters.
     stop
@@ -37,10 +40,15 @@
     """
 
     def __init__(
-        self, node: Node, metrics: Metrics, stop: Callable[[], None]
+        self,
+        node: Node,
+        clock: Clock,
+        metrics: Metrics,
+        stop: Callable[[], None],
     ) -> None:
         """Start without handlers; ``add_handler`` must follow."""
         self._node = node
+        self._clock = clock
         self._metrics = metrics
         self._stop = stop
         self._handlers: list[EffectHandler] = []
@@ -53,6 +61,9 @@
 
     def dispatch(self, event: Event) -> None:
         """Apply an event, after those that are being applied."""
+        paused_s = self._clock.take_pause()
+        if paused_s:
+            self._events.append(PauseSuspected(event.at, paused_s))
         self._events.append(event)
         if self._running:
             return
--- a/src/cranberryseam/daemon/program.py
+++ b/src/cranberryseam/daemon/program.py
@@ -117,7 +117,7 @@
     stopped = anyio.Event()
     seed = settings.seed or secrets.randbits(_SEED_BITS)
     node = build_node(settings, disk.stored if disk else None, seed)
-    executor = Executor(node, metrics, stopped.set)
+    executor = Executor(node, clock, metrics, stopped.set)
     peers = stack.enter_context(
         open_peers(
             settings.vm_id, settings.addresses.peers, build_codec(), metrics
--- a/src/cranberryseam/keys/freshness.py
+++ b/src/cranberryseam/keys/freshness.py
@@ -32,21 +32,29 @@
         self._own_region = settings.vm.region
         self._majority = len(settings.regions) // 2 + 1
         self._round_trip_at = -math.inf
+        self._not_before = -math.inf
         self._heard: dict[str, float] = {
             region: -math.inf for region in settings.regions
         }
 
     def take_round_trip(self, notice: RoundTripCompleted) -> None:
         """Take a completed round trip; an older one changes nothing."""
-        self._round_trip_at = max(self._round_trip_at, notice.sent_at)
+        if notice.sent_at >= self._not_before:
+            self._round_trip_at = max(self._round_trip_at, notice.sent_at)
 
     def take_regions(self, notice: RegionsHeard) -> None:
         """Take the time of the newest evidence of each region."""
         for region, at in notice.newest:
             known = self._heard.get(region)
-            if known is not None:
+            if known is not None and at >= self._not_before:
                 self._heard[region] = max(known, at)
 
+    def restart(self, at: float) -> None:
+        """Forget all evidence; only what is sent from now on counts."""
+        self._not_before = at
+        self._round_trip_at = -math.inf
+        self._heard = dict.fromkeys(self._heard, -math.inf)
+
     def ends_at(self) -> float:
         """Return the time from which on the keys are stale."""
         if self._is_exempt:
--- a/src/cranberryseam/keys/table.py
+++ b/src/cranberryseam/keys/table.py
@@ -13,6 +13,7 @@
 from ..core.events import (
     CommandReceived,
     Event,
+    PauseSuspected,
     StopRequested,
     TimerFired,
 )
@@ -70,6 +71,7 @@
             RoundTripCompleted: self._complete,
             RegionsHeard: self._hear_regions,
             TimerFired: self._expire,
+            PauseSuspected: self._resume,
         }
 
     def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
@@ -125,6 +127,9 @@
     def _expire(self, event: TimerFired) -> None:
         """Let ``handle`` look at the freshness again."""
 
+    def _resume(self, event: PauseSuspected) -> None:
+        self._freshness.restart(event.at)
+
     def _watch_expiry(self) -> list[Output]:
         ends_at = self._freshness.ends_at()
         if not math.isfinite(ends_at):
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -179,6 +179,16 @@
             cached.leases.clear()
         return self._send_reports()
 
+    def drop_leases(self) -> None:
+        """Drop all tokens and asks, as their leases may be over.
+
+        The owner counts them as used until it ends their leases itself.
+        """
+        for ask in tuple(self._asks.values()):
+            self._forget_ask(ask)
+        for cached in self._accounts.values():
+            cached.leases.clear()
+
     def count_cached(self) -> int:
         """Return the number of accounts in memory."""
         return len(self._accounts)
--- a/src/cranberryseam/limits/part.py
+++ b/src/cranberryseam/limits/part.py
@@ -8,6 +8,7 @@
 from ..core.events import (
     Event,
     MessageReceived,
+    PauseSuspected,
     Started,
     StopRequested,
     TimerFired,
@@ -76,6 +77,8 @@
                 return self._settle(self._receive(sender, message, at), at)
             case TimerFired(part=part, name=name) if part == PART:
                 return self._settle(self._fire(name, at), at)
+            case PauseSuspected():
+                self._client.drop_leases()
             case StopRequested():
                 return self._settle(self._client.return_all(), at)
         return []
--- a/src/cranberryseam/ownership/member.py
+++ b/src/cranberryseam/ownership/member.py
@@ -138,6 +138,14 @@
         self._stopping = True
         return [] if self.role is Role.follower else self._give_up(at)
 
+    def resume(self, at: float) -> list[Output]:
+        """Give up what this member leads, as its lease may be over.
+
+        The promise to another leader stays: it may only end later by this.
+        """
+        self._probe = 0
+        return [] if self.role is Role.follower else self._give_up(at)
+
     def receive(
         self, sender: VmId, message: Message, at: float
     ) -> list[Output]:
--- a/src/cranberryseam/ownership/part.py
+++ b/src/cranberryseam/ownership/part.py
@@ -8,6 +8,7 @@
 from ..core.events import (
     Event,
     MessageReceived,
+    PauseSuspected,
     Started,
     StopRequested,
     TimerFired,
@@ -132,6 +133,12 @@
                 return member.tick(event.at) if member else []
             case MessageReceived(sender=sender, message=message):
                 return self._receive(sender, message, event.at)
+            case PauseSuspected():
+                return [
+                    output
+                    for member in self._members.values()
+                    for output in member.resume(event.at)
+                ]
             case StopRequested():
                 return [
                     output
@@ -184,7 +191,7 @@
             return isinstance(message, MESSAGES)
         case TimerFired(part=part):
             return part == PART
-    return isinstance(event, Started | StopRequested)
+    return isinstance(event, Started | StopRequested | PauseSuspected)
 
 
 __all__ = ('Ownership',)
