--- a/src/cranberryseam/fleet/copy.py
+++ b/src/cranberryseam/fleet/copy.py
@@ -68,16 +68,20 @@
         self._put_in_force()
 
     def take_entries(self, first: int, entries: tuple[Entry, ...]) -> Entries:
-        """Apply the entries that come next and return them as a message."""
+        """Apply the entries that come next and return a message to push.
+
+        It is empty if nothing was applied.
+        """
         before = self.version
         for version, entry in enumerate(entries, start=first):
             if version == self.version + 1:
                 self._apply(version, entry)
         self._put_in_force()
-        applied = entries[max(before + 1 - first, 0) :]
-        return _join_entries(
-            before + 1, applied if self.version > before else ()
-        )
+        applied = [kept for kept in self._kept if kept.version > before]
+        if sum(kept.size for kept in applied) > _MOST_DELTA_BYTES:
+            # Too large to push; the others pull it in chunks.
+            applied = []
+        return _join_entries(before + 1, tuple(kept.entry for kept in applied))
 
     def take_whole(self, configuration: Configuration) -> bool:
         """Take a whole configuration if it is newer."""
--- a/src/cranberryseam/fleet/receiver.py
+++ b/src/cranberryseam/fleet/receiver.py
@@ -79,6 +79,8 @@
         if accused:
             refuted = (tables.members.me, *news.members)
             news = News(refuted, news.targets, news.withdrawn)
+        # The answer must confirm withdrawals that came with the ping.
+        tables.finish()
         state = tables.state()
         tables.prober.answer_ping(sender, ping.number, state, news)
 
--- /dev/null
+++ b/src/cranberryseam/fleet/target_records.py
@@ -0,0 +1,93 @@
+"""Records of targets, and the announcements they stand for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from ..core.events import Announcement, TargetState
+from ..types import ServiceName, TargetId
+from .digest import hash_words
+from .messages import TargetRecord
+
+if TYPE_CHECKING:
+    from ..core.notices import TargetChanged
+    from ..types import VmId
+
+
+def rank_record(record: TargetRecord) -> tuple[int, bool, str]:
+    """Return what orders the records of a target."""
+    return record.sequence, record.silent, record.origin
+
+
+def change_record(record: TargetRecord, **changes: object) -> TargetRecord:
+    """Return a record with some fields changed."""
+    changed: TargetRecord = msgspec.structs.replace(record, **changes)
+    return changed
+
+
+def hash_record(record: TargetRecord) -> int:
+    """Return a hash of what orders the records."""
+    return hash_words(record.sequence, record.silent, record.origin)
+
+
+def is_renewal(known: TargetRecord, record: TargetRecord) -> bool:
+    """Return whether a record says nothing new."""
+    return known == change_record(
+        record, sequence=known.sequence, origin=known.origin
+    )
+
+
+def is_same(told: TargetChanged, record: TargetRecord) -> bool:
+    """Return whether a notice told all of a record but its sequence."""
+    announcement = build_announcement(record)
+    return told.announcement == attrs.evolve(
+        announcement, sequence=told.announcement.sequence
+    )
+
+
+def build_record(announcement: Announcement, origin: VmId) -> TargetRecord:
+    """Return the record of an announcement to a VM."""
+    return TargetRecord(
+        target=announcement.target,
+        service=announcement.service,
+        host=announcement.host,
+        port=announcement.port,
+        region=announcement.region,
+        data_centre=announcement.data_centre,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        state=announcement.state.value,
+        sequence=announcement.sequence,
+        silent=False,
+        origin=origin,
+    )
+
+
+def build_announcement(record: TargetRecord) -> Announcement:
+    """Return the announcement that a record carries."""
+    return Announcement(
+        target=TargetId(record.target),
+        service=ServiceName(record.service),
+        host=record.host,
+        port=record.port,
+        region=record.region,
+        data_centre=record.data_centre,
+        slots=record.slots,
+        connections=record.connections,
+        state=TargetState(record.state),
+        sequence=record.sequence,
+    )
+
+
+__all__ = (
+    'build_announcement',
+    'build_record',
+    'change_record',
+    'hash_record',
+    'is_renewal',
+    'is_same',
+    'rank_record',
+)
--- a/src/cranberryseam/fleet/targets.py
+++ b/src/cranberryseam/fleet/targets.py
@@ -17,17 +17,27 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import msgspec
 
-from ..core.events import Announcement, TargetState
 from ..core.notices import TargetChanged
-from ..types import ServiceName, TargetId, VmId
+from ..types import VmId
 from .announcements import AnnouncementOutdated
-from .digest import BucketDigest, hash_words
+from .digest import BucketDigest
 from .members import ALIVE, DEAD, LEFT, SUSPECT, MemberTable
 from .messages import RenewTargets, TargetRecord
+from .target_records import (
+    build_announcement,
+    build_record,
+    change_record,
+    hash_record,
+    is_renewal,
+    is_same,
+    rank_record,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..core.events import Announcement
     from .outbox import Outbox
     from .spread import Spreader
 
@@ -46,6 +56,8 @@
 _RESUME_GRACE_S = 1.0
 # Silent targets are kept so that older announcements don't bring them back.
 _FORGET_S = 60.0
+# At about 20 bytes each, 4 KB.
+_RENEWALS_PER_MESSAGE = 200
 
 
 @attrs.define
@@ -98,7 +110,7 @@
     ) -> AnnouncementOutdated | None:
         """Take a checked announcement to this VM."""
         me = self._members.my_vm
-        record = _record_of(announcement, me)
+        record = build_record(announcement, me)
         target = self._targets.get(record.target)
         if target is None:
             self._store(record)
@@ -110,7 +122,7 @@
             return AnnouncementOutdated(record.sequence, newest)
         target.sequence = record.sequence
         target.heard_at = self._outbox.at
-        if not _is_renewal(target.record, record):
+        if not is_renewal(target.record, record):
             self._store(record)
         elif target.record.origin != me:
             self._renew_elsewhere(target, record)
@@ -119,11 +131,11 @@
     def merge(self, record: TargetRecord) -> None:
         """Take a record of another VM if it is newer."""
         target = self._targets.get(record.target)
-        if target and _rank(record) <= _rank(target.record):
+        if target and rank_record(record) <= rank_record(target.record):
             return
         if target and record.silent and self._is_later(target, record):
             # This VM got a later announcement than the origin did.
-            record = _with(
+            record = change_record(
                 record,
                 sequence=target.sequence,
                 origin=self._members.my_vm,
@@ -152,7 +164,7 @@
             if is_overdue and not target.record.silent:
                 record = target.record
                 self._store(
-                    _with(record, sequence=target.sequence, silent=True)
+                    change_record(record, sequence=target.sequence, silent=True)
                 )
         self.take_over()
         self._check_origins()
@@ -171,15 +183,17 @@
                 me = self._members.my_vm
                 self._elsewhere.discard(name)
                 self._store(
-                    _with(target.record, sequence=target.sequence, origin=me)
+                    change_record(
+                        target.record, sequence=target.sequence, origin=me
+                    )
                 )
 
     def end_period(self) -> None:
         """Forward renewals, one message per origin; forget old targets."""
         self._forget_old()
         for origin, renewals in sorted(self._renewals.items()):
-            message = RenewTargets(tuple(renewals.items()))
-            self._outbox.send(origin, message)
+            for page in _cut(tuple(renewals.items())):
+                self._outbox.send(origin, RenewTargets(page))
         self._renewals.clear()
 
     def _store(self, record: TargetRecord) -> None:
@@ -200,7 +214,7 @@
         self._by_origin.setdefault(VmId(record.origin), set()).add(
             record.target
         )
-        self.digest.replace(record.target, _hash_record(record))
+        self.digest.replace(record.target, hash_record(record))
         self._spreader.add_target(record)
         self._tell(target)
 
@@ -208,7 +222,7 @@
         if target.record.silent:
             me = self._members.my_vm
             self._store(
-                _with(
+                change_record(
                     target.record,
                     sequence=target.sequence,
                     origin=me,
@@ -277,69 +291,20 @@
         record = target.record
         silent = record.silent or not self._is_vouched(VmId(record.origin))
         told = target.told
-        if told and told.silent == silent and _is_same(told, record):
+        if told and told.silent == silent and is_same(told, record):
             return
         target.changed_at = self._outbox.at
         target.told = TargetChanged(
-            self._outbox.at, _announcement_of(record), silent
+            self._outbox.at, build_announcement(record), silent
         )
         self._outbox.add(target.told)
 
 
-def _rank(record: TargetRecord) -> tuple[int, bool, str]:
-    return record.sequence, record.silent, record.origin
-
-
-def _with(record: TargetRecord, **changes: object) -> TargetRecord:
-    changed: TargetRecord = msgspec.structs.replace(record, **changes)
-    return changed
-
-
-def _hash_record(record: TargetRecord) -> int:
-    return hash_words(record.sequence, record.silent, record.origin)
-
-
-def _is_renewal(known: TargetRecord, record: TargetRecord) -> bool:
-    return known == _with(record, sequence=known.sequence, origin=known.origin)
-
-
-def _is_same(told: TargetChanged, record: TargetRecord) -> bool:
-    announcement = _announcement_of(record)
-    return told.announcement == attrs.evolve(
-        announcement, sequence=told.announcement.sequence
-    )
-
-
-def _record_of(announcement: Announcement, origin: VmId) -> TargetRecord:
-    return TargetRecord(
-        target=announcement.target,
-        service=announcement.service,
-        host=announcement.host,
-        port=announcement.port,
-        region=announcement.region,
-        data_centre=announcement.data_centre,
-        slots=announcement.slots,
-        connections=announcement.connections,
-        state=announcement.state.value,
-        sequence=announcement.sequence,
-        silent=False,
-        origin=origin,
-    )
-
-
-def _announcement_of(record: TargetRecord) -> Announcement:
-    return Announcement(
-        target=TargetId(record.target),
-        service=ServiceName(record.service),
-        host=record.host,
-        port=record.port,
-        region=record.region,
-        data_centre=record.data_centre,
-        slots=record.slots,
-        connections=record.connections,
-        state=TargetState(record.state),
-        sequence=record.sequence,
-    )
+def _cut(
+    renewals: tuple[tuple[str, int], ...],
+) -> Iterator[tuple[tuple[str, int], ...]]:
+    for start in range(0, len(renewals), _RENEWALS_PER_MESSAGE):
+        yield renewals[start : start + _RENEWALS_PER_MESSAGE]
 
 
 __all__ = ('CHECK_S', 'EXPIRY_S', 'TargetTable')
--- a/tests/fleet/fleet_network.py
+++ b/tests/fleet/fleet_network.py
@@ -88,6 +88,7 @@
         self.vms: dict[str, Vm] = {}
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
+        self.largest = 0
         self.kinds: Counter[str] = Counter()
         self.counters: Counter[str] = Counter()
         self.answers: dict[int, object] = {}
@@ -247,6 +248,7 @@
     def _send(self, name: str, effect: SendMessage) -> None:
         raw = self.codec.encode(name, effect.message)
         self.sent[name] += len(raw)
+        self.largest = max(self.largest, len(raw))
         self.kinds[type(effect.message).__name__] += len(raw)
         is_lost = self.rng.random() < self.loss
         if is_lost or (name, effect.to) in self.cuts:
--- a/tests/fleet/test_fleet_configuration.py
+++ b/tests/fleet/test_fleet_configuration.py
@@ -11,8 +11,12 @@
 from fleet_network import Network
 from parameterized import parameterized
 
-from cranberryseam.configuration.entries import KeyGranted, apply_entry
-from cranberryseam.configuration.model import Configuration
+from cranberryseam.configuration.entries import (
+    KeyGranted,
+    ListsChanged,
+    apply_entry,
+)
+from cranberryseam.configuration.model import Account, Configuration
 from cranberryseam.core.commands import ShowLists
 from cranberryseam.core.notices import SnapshotInstalled
 from cranberryseam.fleet.copy import ConfigurationCopy
@@ -164,6 +168,26 @@
         self.assertLess(statistics.median(times), 2)
         self.assertLess(max(times), 5)
 
+    def test_reordered_messages(self) -> None:
+        # Answers take up to 2 s, longer than a ping may.
+        network = build(8, 14, loss=0.1, spread_s=1.0)
+        for version in range(4, 24):
+            commit(network, version, _grant(version))
+            network.run(0.3)
+        seen = network.run(15, partial(have_version, network, 23))
+        self.assertIsNotNone(seen)
+        self.assertTrue(_serves_version_order(network))
+
+    def test_large_entry_is_pulled_in_chunks(self) -> None:
+        network = build(8, 15)
+        accounts = tuple(
+            Account(f'account{number:06d}', 'small') for number in range(5000)
+        )
+        commit(network, 4, ListsChanged('large', accounts=accounts))
+        seen = network.run(11, partial(have_version, network, 4))
+        self.assertIsNotNone(seen)
+        self.assertLess(network.largest, 140_000)
+
     def test_returning_and_restarted_vms(self) -> None:
         network = build(44, 11)
         network.isolate('vm0020')
