Vouch for a while for targets whose origin is not known yet

Cause: a VM that learned of a target before it learned of the target's origin reported the target as silent; found with the mutations 'reports unbounded' and 'reports by arrival', which only changed the random choices. Change: an unknown origin vouches for 5 s; tests for it, for the bound and order of reports, for chunks out of order and for a region split in two.

--- a/src/cranberryseam/fleet/targets.py
+++ b/src/cranberryseam/fleet/targets.py
@@ -52,6 +52,9 @@
 _VOUCHING_S = MappingProxyType(
     {ALIVE: math.inf, SUSPECT: ORIGIN_GRACE_S, DEAD: 0, LEFT: EXPIRY_S}
 )
+# A VM that has just started may learn of a target before it learns of the
+# origin; after this time the origin is taken as gone.
+_UNKNOWN_S = 5.0
 # An origin that stood still waits this long for announcements in its queue.
 _RESUME_GRACE_S = 1.0
 # Silent targets are kept so that older announcements don't bring them back.
@@ -97,6 +100,7 @@
         self._renewals: dict[VmId, dict[str, int]] = {}
         self._elsewhere: set[str] = set()
         self._vouched: dict[VmId, bool] = {}
+        self._unknown: dict[VmId, float] = {}
         self.digest = BucketDigest()
         self._checked_at: float = 0
 
@@ -283,7 +287,9 @@
             return True
         member = self._members.members.get(origin)
         if member is None:
-            return False
+            since = self._unknown.setdefault(origin, self._outbox.at)
+            return self._outbox.at - since < _UNKNOWN_S
+        self._unknown.pop(origin, None)
         grace_s = _VOUCHING_S[member.record.status]
         return self._outbox.at - member.changed_at < grace_s
 
--- a/tests/fleet/fleet_network.py
+++ b/tests/fleet/fleet_network.py
@@ -81,6 +81,7 @@
         self.spread_s = float(options.pop('spread_s', 0.002))  # type: ignore[arg-type]
         self.controls = int(options.pop('controls', 3))  # type: ignore[arg-type]
         self.isolation = str(options.pop('isolation', 'vm'))
+        self.region_count = int(options.pop('region_count', 3))  # type: ignore[arg-type]
         self.now = 0.0
         self.codec = Codec(MESSAGES)
         self.cuts: set[tuple[str, str]] = set()
@@ -102,7 +103,7 @@
             self.start(name)
 
     def region(self, name: str) -> str:
-        return REGIONS[int(name[2:]) % len(REGIONS)]
+        return REGIONS[int(name[2:]) % self.region_count]
 
     def is_control(self, name: str) -> bool:
         return int(name[2:]) < self.controls
--- a/tests/fleet/test_fleet_configuration.py
+++ b/tests/fleet/test_fleet_configuration.py
@@ -22,6 +22,7 @@
 from cranberryseam.fleet.copy import ConfigurationCopy
 from cranberryseam.fleet.messages import Entries, PullEntries, PullSnapshot
 from cranberryseam.fleet.outbox import Outbox
+from cranberryseam.fleet.snapshot import SnapshotSource, SnapshotTransfer
 from cranberryseam.fleet.start import PeerAnswer, StartRule
 
 
@@ -107,6 +108,18 @@
         if isinstance(message, Entries):
             self.assertEqual(message.first, 461)
 
+    def test_chunks_out_of_order(self) -> None:
+        source = SnapshotSource()
+        configuration = _large(3000)
+        first, second, third = (
+            source.cut(configuration, start) for start in (0, 1024, 2048)
+        )
+        transfer = SnapshotTransfer('s')
+        order = (first, third, first, second, second, third, third)
+        taken = [transfer.take(chunk) for chunk in order]
+        self.assertEqual(taken, [True, False, False, True, False, True, False])
+        self.assertEqual(transfer.build(), configuration)
+
     def test_late_snapshot_does_not_revert(self) -> None:
         source = ConfigurationCopy(Outbox())
         source.take_entries(1, FIRST_ENTRIES)
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -174,10 +174,10 @@
         self.assertTrue(network.vms['vm0010'].ready)
 
     def test_two_halves_find_each_other(self) -> None:
-        # All VMs of the settings are on one side and long forgotten as live.
-        network = build(8, 9)
-        for name in network.names[:6]:
-            for other in network.names[6:]:
+        # In one region, where no relay looks for the other side.
+        network = build(8, 9, region_count=1)
+        for name in network.names[:4]:
+            for other in network.names[4:]:
                 network.cut(name, other)
         network.run(40)
         network.cuts.clear()
--- /dev/null
+++ b/tests/fleet/test_fleet_reports.py
@@ -0,0 +1,32 @@
+"""Tests of the reports that VMs pass on."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from cranberryseam.fleet.messages import Report, Reports, SenderState
+from cranberryseam.fleet.reports import ReportTable
+
+
+def _state(beat: int, version: int) -> SenderState:
+    return SenderState(1, beat, version, True, 7, 0, 0)
+
+
+class ReportTest(testtools.TestCase):
+    """Guards against reports that go back or grow with the fleet."""
+
+    def test_bounded(self) -> None:
+        table = ReportTable(random.Random(1))
+        for number in range(850):
+            table.take_state(f'vm{number}', _state(1, number % 3), 1.0)
+        reports = table.choose()
+        self.assertEqual((len(reports.rows), len(reports.marks)), (8, 3))
+
+    def test_late_report(self) -> None:
+        table = ReportTable(random.Random(1))
+        table.take_state('b', _state(5, 9), 1.0)
+        late = Reports(((8, 7),), (Report('b', 4, 0), Report('a', 6, 0)))
+        own_beat = table.take_reports(late, 'a', 2.0)
+        self.assertEqual((table.find('b').version, own_beat), (9, 6))
--- a/tests/fleet/test_fleet_targets.py
+++ b/tests/fleet/test_fleet_targets.py
@@ -10,7 +10,7 @@
 from fleet_network import Network
 from parameterized import parameterized
 
-from cranberryseam.core.events import TargetState
+from cranberryseam.core.events import MessageReceived, TargetState
 from cranberryseam.core.notices import TargetChanged
 from cranberryseam.fleet import (
     AnnouncementOutdated,
@@ -18,6 +18,7 @@
     ServiceUnknown,
     TargetKeyRefused,
 )
+from cranberryseam.fleet.messages import News, Push, TargetRecord
 
 
 def _all(network: Network, **expected: object) -> bool:
@@ -156,6 +157,29 @@
         keep_announcing(network, 6, 'vm0020', sequence)
         self.assertTrue(_all(network))
 
+    def test_origin_that_is_not_known_yet(self) -> None:
+        network = build(8, 37)
+        vm = network.vms['vm0007']
+        record = TargetRecord(
+            't2',
+            'malipo',
+            '10.1.0.2',
+            1,
+            'dar',
+            'd',
+            4,
+            9,
+            'ready',
+            1,
+            False,
+            'x',
+        )
+        push = Push(News(targets=(record,)))
+        network.deliver('vm0007', MessageReceived(network.now, 'x', push))
+        self.assertFalse(vm.targets['t2'].silent)
+        network.run(6)
+        self.assertTrue(vm.targets['t2'].silent)
+
     def test_frozen_origin(self) -> None:
         network = build(24, 36)
         sequence = keep_announcing(network, 3, 'vm0020', 1)
