--- a/tests/fleet/test_fleet_detector.py
+++ b/tests/fleet/test_fleet_detector.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import testtools
-from fleet_fixtures import announce, build
-from fleet_network import Network, Vm
 from parameterized import parameterized
 
 from cranberryseam.core.notices import (
@@ -23,6 +21,9 @@
 )
 from cranberryseam.fleet.outbox import Outbox
 
+from .fleet_fixtures import announce, build
+from .fleet_network import Network, Vm
+
 STATE = SenderState(1, 1, 0, False, 0, 0, 0)
 
 
