Don't take the disk of a restarted replica for the newest state

Cause: after a start the replica told each entry known committed on disk as EntryCommitted, which the gossip part takes as confirmed by a leader with a quorum. A replica back from a long isolation settled restarting VMs with an old version. Change: what the disk says is told as one SnapshotInstalled. Conclusion: a VM settles only on what a leader confirmed in this run.

--- a/src/cranberryseam/control/context.py
+++ b/src/cranberryseam/control/context.py
@@ -156,6 +156,22 @@
         if self.commit - saved >= SNAPSHOT_EVERY:
             self._take_snapshot()
 
+    def restore(self, index: int) -> None:
+        """Apply the records that the disk says are committed.
+
+        They are told as one snapshot: each ``EntryCommitted`` means that a
+        leader with a quorum confirmed the commit in this run, and a replica
+        that was away for long must not pass its old state as the newest.
+        """
+        self.commit_to(index)
+        self.outputs = [
+            output
+            for output in self.outputs
+            if not isinstance(output, EntryCommitted)
+        ]
+        if self.commit:
+            self.announce_snapshot()
+
     def install(self, snapshot: Snapshot) -> None:
         """Continue after a snapshot that is newer than the commit index."""
         self.log.restart(snapshot)
--- a/src/cranberryseam/control/replica.py
+++ b/src/cranberryseam/control/replica.py
@@ -93,10 +93,7 @@
         return outputs
 
     def _start(self) -> None:
-        context = self._context
-        if context.commit:
-            context.announce_snapshot()
-        context.commit_to(self._stored_commit)
+        self._context.restore(self._stored_commit)
         self._elections.start()
 
     def _stop(self) -> None:
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -93,6 +93,21 @@
             simulation.ask(away, ShowControl()).body['quorum_recent']
         )
 
+    def test_restart_alone_confirms_no_entry(self) -> None:
+        """An old disk must not settle VMs that look for the newest version."""
+        simulation = make_group()
+        simulation.run(1)
+        for name in simulation.vms:
+            simulation.crash(name)
+        told: list[int] = []
+        simulation._check_commit = lambda _vm, version, _entry: told.append(
+            version
+        )
+        simulation.start('a')
+        simulation.run(3)
+        self.assertEqual(told, [])
+        self.assertGreater(simulation.vms['a'].committed, 0)
+
     def test_stop_hands_leadership_over(self) -> None:
         simulation = make_group()
         old = simulation.leader()
