Let a request that was shed keep its turn

Change: the coordinator passes the outcome to may_retry; shed attempts count neither against the limit of attempts nor as tried targets.

--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -14,7 +14,8 @@
 from .outcomes import classify_answer, classify_failure, refuse_failed
 from .state import RequestState, Stage
 
-# Attempts of one request, the first one included.
+# Attempts of one request, the first one included, without those that a
+# target refused because it was overloaded.
 MOST_ATTEMPTS: Final = 3
 
 _Outputs = list[Output]
@@ -98,7 +99,7 @@
         outcome = classify_failure(event.failure)
         released = self._endings.release(state, outcome, event.at)
         retry_is_safe = state.retriable or not event.sent
-        if retry_is_safe and self._take_retry(state, event.at):
+        if retry_is_safe and self._take_retry(state, outcome, event.at):
             return [*released, *self._retry(state, outcome, event.at)]
         refusal = refuse_failed(state, event.failure)
         return [*released, *self._endings.refuse(state, refusal, event.at)]
@@ -114,7 +115,7 @@
         state.may_have_run = state.may_have_run or not event.not_run
         faulty = outcome in {AttemptOutcome.failed, AttemptOutcome.shed}
         retry_is_safe = faulty and (state.retriable or event.not_run)
-        if retry_is_safe and self._take_retry(state, event.at):
+        if retry_is_safe and self._take_retry(state, outcome, event.at):
             return [
                 fx.CancelAttempt(state.request_id, state.attempt_id),
                 *self._endings.release(state, outcome, event.at),
@@ -179,19 +180,27 @@
             fx.IncrementCounter(f'answers.{outcome.value}'),
         ]
 
-    def _take_retry(self, state: RequestState, at: float) -> bool:
-        if state.attempt >= MOST_ATTEMPTS or at >= state.deadline_at:
+    def _take_retry(
+        self, state: RequestState, outcome: AttemptOutcome, at: float
+    ) -> bool:
+        if state.caller_left or at >= state.deadline_at:
             return False
-        if state.caller_left:
+        # A target that sheds did no work; the request keeps its turn and
+        # waits, so this is no attempt that the limit is meant for.
+        shed = outcome is AttemptOutcome.shed
+        if state.failures >= MOST_ATTEMPTS - 1 and not shed:
             return False
-        service = state.route.service
-        return self._router.may_retry(service, state.account, at)
+        return self._router.may_retry(
+            state.route.service, state.account, at, outcome
+        )
 
     def _retry(
         self, state: RequestState, outcome: AttemptOutcome, at: float
     ) -> _Outputs:
-        if state.target is not None:
-            state.excluded |= {state.target}
+        if outcome is not AttemptOutcome.shed:
+            state.failures += 1
+            if state.target is not None:
+                state.excluded |= {state.target}
         counter = fx.IncrementCounter(f'retries.{outcome.value}')
         return [counter, *self.queue_for_slot(state, at)]
 
--- a/src/cranberryseam/requests/collaborators.py
+++ b/src/cranberryseam/requests/collaborators.py
@@ -68,7 +68,11 @@
         """Forget a request that waits or has a slot."""
 
     def may_retry(
-        self, service: ServiceName, account: AccountId, at: float
+        self,
+        service: ServiceName,
+        account: AccountId,
+        at: float,
+        outcome: AttemptOutcome | None = None,
     ) -> bool:
         """Take one retry from the budgets, if they allow it."""
 
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -32,6 +32,8 @@
         Hash of the key it carried; None on a public route.
     retriable
         True if its method may run more than once on this route.
+    failures
+        Attempts that failed, without those that a target shed.
     may_have_run
         True once a byte of an attempt may have reached a target that
         didn't refuse it.
@@ -54,6 +56,7 @@
     retriable: bool
     stage: Stage = Stage.token
     attempt: int = 0
+    failures: int = 0
     attempt_id: AttemptId = AttemptId(0)
     attempt_at: float = 0
     target: TargetId | None = None
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -117,7 +117,11 @@
         return []
 
     def may_retry(
-        self, service: ServiceName, account: AccountId, at: float
+        self,
+        service: ServiceName,
+        account: AccountId,
+        at: float,
+        outcome: AttemptOutcome | None = None,
     ) -> bool:
         """Take one of the retries that are left."""
         self.retries -= 1
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -148,6 +148,22 @@
         retried = any(isinstance(each, fx.StartAttempt) for each in effects)
         self.assertEqual(retried, kind is fx.CancelAttempt)
 
+    def test_shed_attempts_keep_target_and_limit(self) -> None:
+        """A request that was shed often must still reach a free slot."""
+        driver = _Driver(FakeParts())
+        driver.apply(_arrive(build_head()))
+        for attempt in range(1, 6):
+            effects = driver.apply(_answer(attempt, 503, not_run=True))
+            self.assertEqual(effects[1].target, 't0')
+
+    def test_failed_attempts_have_a_limit(self) -> None:
+        driver = _Driver(FakeParts())
+        driver.apply(_arrive(build_head()))
+        for attempt in (1, 2):
+            driver.apply(_fail(attempt, FAILURE.not_connected, False))
+        effect = driver.apply(_fail(3, FAILURE.not_connected, False))[0]
+        self.assertIsInstance(effect, fx.RefuseRequest)
+
     def test_retries_end_with_the_budget(self) -> None:
         driver = _Driver(FakeParts(retries=0))
         driver.apply(_arrive(build_head()))
