Measure the latency that a running fleet adds

Cause: the figure of the gateway alone, with a reducer that grants all, says nothing of the whole path. Change: benchmarks/fleet_latency.py loads one entry VM of the running fleet and the same targets directly in one run; direct copies go to several targets.

--- a/benchmarks/fleet_latency.py
+++ b/benchmarks/fleet_latency.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 import fire
+import httpx
 import tomli_w
 
 from cranberryseam.cli.output import print_table
@@ -31,6 +32,7 @@
 FIRST_TARGET_PORT = 23800
 WARM_UP = '5s'
 GOAL_MS = 2.8
+TARGET_LATENCY_S = 0.01
 
 
 def measure(
@@ -49,6 +51,7 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         layout = plan_layout(folder, ('dar',), 3, 3, FIRST_PORT)
         demo = demonstration.start_fleet(layout, stack)
+        _set_target_latency()
         rows = [
             _run(demo, folder, rate, seconds, seed + number)
             for number in range(runs)
@@ -56,6 +59,15 @@
     print_table(rows, ' '.join(rows[0]))
 
 
+def _set_target_latency() -> None:
+    for number in range(demonstration.TARGETS_PER_SERVICE):
+        httpx.post(
+            f'http://{LOOPBACK}:{FIRST_TARGET_PORT + number}/-/faults',
+            json={'latency_s': TARGET_LATENCY_S},
+            trust_env=False,
+        )
+
+
 def _run(
     demo: demonstration.Demo, folder: Path, rate: int, seconds: int, seed: int
 ) -> dict[str, object]:
@@ -71,7 +83,10 @@
                 'path': '/catalogue/1',
                 'rate': f'{rate}/s',
                 'addresses': [vm.callers],
-                'direct': f'{LOOPBACK}:{FIRST_TARGET_PORT}',
+                'direct': [
+                    f'{LOOPBACK}:{FIRST_TARGET_PORT + number}'
+                    for number in range(demonstration.TARGETS_PER_SERVICE)
+                ],
             }
         ],
     }
--- a/src/cranberryseam/load/generator.py
+++ b/src/cranberryseam/load/generator.py
@@ -29,7 +29,7 @@
 
     stream: Stream
     pools: tuple[Pool, ...]
-    direct: Pool | None
+    direct: tuple[Pool, ...]
     report: Report
     counted_from: float
     sent: int = 0
@@ -43,17 +43,15 @@
         self.sent += 1
         pool = self.pools[self.sent % len(self.pools)]
         sends = [self._send(FLEET, pool, due)]
-        if self.direct is not None:
-            copy_due = due + DIRECT_OFFSET_S
-            sends.append(self._send(DIRECT, self.direct, copy_due))
+        if self.direct:
+            copy = self.direct[self.sent % len(self.direct)]
+            sends.append(self._send(DIRECT, copy, due + DIRECT_OFFSET_S))
         return sends
 
     def close(self) -> None:
         """Close all connections."""
-        for pool in self.pools:
+        for pool in (*self.pools, *self.direct):
             pool.close()
-        if self.direct is not None:
-            self.direct.close()
 
     async def _send(self, side: str, pool: Pool, due: float) -> None:
         await asyncio.sleep(max(due - time.monotonic(), 0))
@@ -95,7 +93,7 @@
             run = StreamRun(
                 stream=stream,
                 pools=tuple(Pool(address) for address in stream.addresses),
-                direct=Pool(stream.direct) if stream.direct else None,
+                direct=tuple(Pool(address) for address in stream.direct),
                 report=report,
                 counted_from=started_at + plan.warm_up_s,
             )
--- a/src/cranberryseam/load/plan.py
+++ b/src/cranberryseam/load/plan.py
@@ -23,8 +23,8 @@
     addresses
         Entry VMs (``ip:port``), used in turn.
     direct
-        Address of a target that gets a copy of each request, so that the
-        latency that the fleet adds can be told; empty for none.
+        Addresses of targets that get a copy of each request in turn, so
+        that the latency that the fleet adds can be told.
     rate
         Mean arrivals, such as ``20/s``.
     timeout
@@ -42,7 +42,7 @@
     method: str = 'GET'
     body: str = ''
     timeout: str = '10s'
-    direct: str = ''
+    direct: tuple[str, ...] = ()
     once: bool = False
     headers: Mapping[str, str] = attrs.field(factory=dict)
 
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -29,7 +29,7 @@
 path = "/catalogue"
 rate = "100/s"
 addresses = ["{address}"]
-direct = "{address}"
+direct = ["{address}"]
 """
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 REFUSED = (
