--- /dev/null
+++ b/tests/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what control costs."""
