--- a/benchmarks/process_cost.py
+++ b/benchmarks/process_cost.py
@@ -42,6 +42,9 @@
 START_LIMIT_S = 30.0
 IN_FORCE_LIMIT_S = 60.0
 MOST_ATTEMPTS = 4
+IDLE_S = 10.0
+# Counters are sent once a second.
+FLUSH_S = 1.5
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 STEPS = ((8, 10), (5000, 500), (54000, 7600))
 
@@ -234,13 +237,20 @@
 def _time_changes(fleet: Fleet, change: Any, count: int) -> dict[str, Any]:
     accepted: list[float] = []
     in_force: list[float] = []
+    idle = fleet.cost(IDLE_S)['bytes_per_s'] * len(fleet.layout.vms)
+    started = time.monotonic()
+    sent = fleet.counters.total('peers.bytes_sent')
     for _ in range(count):
         began = time.monotonic()
         version = change()
         accepted.append(time.monotonic() - began)
         fleet.wait(version)
         in_force.append(time.monotonic() - began)
+    time.sleep(FLUSH_S)
+    sent = fleet.counters.total('peers.bytes_sent') - sent
+    sent -= idle * (time.monotonic() - started)
     return {
+        'fleet_bytes_per_change': sent / count,
         'accepted_s': [statistics.median(accepted), max(accepted)],
         'in_force_s': [statistics.median(in_force), max(in_force)],
         'changes': count,
