--- a/src/cranberryseam/cli/keys.py
+++ b/src/cranberryseam/cli/keys.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import secrets
-from hashlib import blake2b
 from typing import Final
 
+from ..serving import credentials
+
 # 256 bits can't be guessed, so that a fast hash without salt is enough.
 KEY_BYTES: Final = 32
-HASH_BYTES: Final = 32
 
 
 def generate_key() -> str:
@@ -18,7 +18,7 @@
 
 def hash_key(key: str) -> bytes:
     """Return the hash under which a key is stored."""
-    return blake2b(key.encode(), digest_size=HASH_BYTES).digest()
+    return credentials.hash_key(key.encode())
 
 
 __all__ = ('generate_key', 'hash_key')
--- a/src/cranberryseam/experiments/demo.py
+++ b/src/cranberryseam/experiments/demo.py
@@ -23,10 +23,11 @@
 from ..cli.client import AdminClient
 from ..cli.keys import generate_key, hash_key
 from ..cli.lists import build_lists_body
-from ..cli.output import describe_failure, print_table
+from ..cli.output import describe_failure
 from ..configuration.lists import parse_lists
-from .callers import Caller, Sent, count_reasons, repeat, repeat_orders
-from .demo_lists import BIG_BURST, BIG_RATE, CUSTOMERS, build_usage
+from .callers import Caller, Sent, repeat, repeat_orders
+from .demo_lists import BIG_RATE, CUSTOMERS, build_usage
+from .demo_report import Outcome, report
 from .local import (
     ADMIN_KEY,
     LOOPBACK,
@@ -52,8 +53,6 @@
 KILL_CONTROL_AT_S: Final = 2.0
 KILL_TARGET_AT_S: Final = 3.0
 WITHDRAW_AT_S: Final = 5.0
-# Stated goal: seconds until a withdrawn key is refused at every VM.
-WITHDRAWAL_GOAL_S: Final = 5.0
 BIG_OVERLOAD: Final = 5
 
 
@@ -71,6 +70,18 @@
     caller_keys_seen: int = 0
     withdrawn_at: float = 0
 
+    def build_outcome(self) -> Outcome:
+        """Return what callers and targets saw."""
+        return Outcome(
+            accounts=tuple(sorted(self.keys)),
+            entry_vms=tuple(vm.name for vm in self.layout.entry),
+            journal=tuple(self.journal),
+            executions=self.executions,
+            caller_keys_seen=self.caller_keys_seen,
+            withdrawn_at=self.withdrawn_at,
+            traffic_s=TRAFFIC_S,
+        )
+
     def build_callers(self, account: str) -> list[Caller]:
         """Return a caller for each entry VM."""
         return [
@@ -91,7 +102,7 @@
             demo = start_fleet(layout, stack)
             anyio.run(run_traffic, demo)
             collect_counts(demo)
-            failures = report(demo)
+            failures = report(demo.build_outcome())
         print_logs(layout, failures)
     sys.exit(1 if failures else 0)
 
@@ -276,98 +287,6 @@
         demo.caller_keys_seen += len(counts['keys_seen'])
 
 
-def report(demo: Demo) -> list[str]:
-    """Print what happened and return the promises that were broken."""
-    rows = [describe_account(demo, name) for name in sorted(demo.keys)]
-    print_table(rows, 'account sent answered refused broken')
-    reasons = count_reasons(demo.journal)
-    refused = [
-        {'refusal': reason, 'count': count}
-        for reason, count in sorted(reasons.items())
-    ]
-    print_table(refused, 'refusal count')
-    checks = list(check_promises(demo))
-    print_table(checks, 'check value bound result')
-    return [row['check'] for row in checks if row['result'] != 'ok']
-
-
-def describe_account(demo: Demo, account: str) -> dict[str, object]:
-    """Return how the requests of an account ended."""
-    sent = [each for each in demo.journal if each.account == account]
-    broken = sum(each.status == 0 for each in sent)
-    answered = sum(not each.reason for each in sent)
-    return {
-        'account': account,
-        'sent': len(sent),
-        'answered': answered,
-        'refused': len(sent) - answered - broken,
-        'broken': broken,
-    }
-
-
-def check_promises(demo: Demo) -> list[dict[str, Any]]:
-    """Return one row per promise that the demonstration can check."""
-    orders = {
-        sent.work_id for sent in demo.journal if '-order-' in sent.work_id
-    }
-    ran_twice = sum(demo.executions[order] > 1 for order in orders)
-    answered = find_orders(demo, lambda sent: not sent.reason)
-    untrue = find_orders(demo, lambda sent: sent.ran == 'no') - answered
-    untrue_refusals = sum(demo.executions[order] > 0 for order in untrue)
-    lost = sum(not demo.executions[order] for order in answered)
-    unanswered = sum(sent.status == 0 for sent in demo.journal)
-    admitted = describe_account(demo, 'bahari')['answered']
-    most = BIG_RATE * (TRAFFIC_S + 1) + BIG_BURST
-    return [
-        judge('orders that ran twice', ran_twice, 0),
-        judge('orders answered but not run', lost, 0),
-        judge('orders run but refused as not run', untrue_refusals, 0),
-        judge('orders answered', len(answered), len(orders) // 2, least=True),
-        judge('caller keys seen by targets', demo.caller_keys_seen, 0),
-        judge('connections broken', unanswered, 0),
-        judge('requests of bahari admitted', admitted, most),
-        *judge_withdrawal(demo),
-    ]
-
-
-def find_orders(demo: Demo, check: Callable[[Sent], bool]) -> set[str]:
-    """Return the orders of which a copy was told what the check looks for."""
-    return {
-        sent.work_id
-        for sent in demo.journal
-        if '-order-' in sent.work_id and check(sent)
-    }
-
-
-def judge_withdrawal(demo: Demo) -> list[dict[str, Any]]:
-    """Return a row per entry VM: seconds until the key was refused."""
-    rows = []
-    for vm in demo.layout.entry:
-        accepted = [
-            sent.sent_at - demo.withdrawn_at
-            for sent in demo.journal
-            if sent.account == 'zuri' and sent.vm == vm.name and not sent.reason
-        ]
-        seconds = round(max((0, *accepted)), 3)
-        name = f'seconds until {vm.name} refused the withdrawn key'
-        rows.append(judge(name, seconds, WITHDRAWAL_GOAL_S))
-    return rows
-
-
-def judge(
-    check: str, figure: Any, bound: float, *, least: bool = False
-) -> dict[str, Any]:
-    """Return a row that compares a figure with its bound."""
-    kept = figure >= bound if least else figure <= bound
-    sign = '>=' if least else '<='
-    return {
-        'check': check,
-        'value': figure,
-        'bound': f'{sign} {bound}',
-        'result': 'ok' if kept else 'BROKEN',
-    }
-
-
 def print_logs(layout: LocalLayout, failures: list[str]) -> None:
     """Print the end of all logs if a promise was broken."""
     if not failures:
--- a/src/cranberryseam/requests/endings.py
+++ b/src/cranberryseam/requests/endings.py
@@ -163,4 +163,10 @@
     return fx.IncrementCounter(f'refusals.{reason.value}')
 
 
-__all__ = ('Endings', 'count_refusal', 'doubt_refusal', 'render_refusal')
+__all__ = (
+    'Endings',
+    'count_refusal',
+    'doubt_refusal',
+    'is_unclaimed_copy',
+    'render_refusal',
+)
--- a/src/cranberryseam/serving/failures.py
+++ b/src/cranberryseam/serving/failures.py
@@ -10,6 +10,7 @@
 from ..core import commands
 from ..core.errors import Failure, InvalidInput
 from ..core.refusals import Refusal
+from ..fleet import announcements
 from .asgi import Send, send_answer
 from .problems import PROBLEM_TYPE, send_refusal
 
@@ -38,6 +39,12 @@
         KeyRefused: 401,
         NoSuchResource: 404,
         BodyNotAccepted: 413,
+        announcements.TargetKeyRefused: 403,
+        announcements.ServiceUnknown: 404,
+        announcements.AnnouncementOutdated: 409,
+        announcements.ConfigurationMissing: 503,
+        commands.ReplacementInProgress: 409,
+        commands.ReplicaUnusable: 409,
         commands.UnknownName: 404,
         commands.AlreadyInitialised: 409,
         commands.CommandKeyReused: 409,
