--- a/src/cranberryseam/cli/fleet.py
+++ b/src/cranberryseam/cli/fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+import time
+from typing import Any, Final
 
+from .client import ApiResult
 from .context import Connect, choose_command_key, take
 from .keys import generate_key, hash_key
 from .output import (
@@ -14,6 +16,8 @@
     print_table,
 )
 
+POLL_S: Final = 0.5
+
 
 class KeyCommands:
     """Grant and withdraw keys of client accounts."""
@@ -49,15 +53,28 @@
             return
         print(f'key {key_id}: {key}')  # noqa: WPS421
 
-    def withdraw(self, key_id: str, command_key: str = '') -> None:
-        """Withdraw a key at every address and show what is confirmed.
+    def withdraw(
+        self, key_id: str, command_key: str = '', wait_s: float = 5
+    ) -> None:
+        """Withdraw a key at every address and wait for confirmations.
+
+        Exits with 5 if a VM has not confirmed by then; ``fleet show`` tells
+        later whether it has.
+
+        Parameters
+        ----------
+        key_id
+            Name of the key.
+        command_key
+            Same key for a command sent again after a lost answer.
+        wait_s
+            Longest time to wait for confirmations, in seconds.
 
-        Exits with 5 if a VM has not confirmed yet; ``fleet show`` tells later
-        whether it has.
         """
         body = {'command_key': choose_command_key(command_key)}
-        path = f'/v1/keys/{key_id}/withdraw'
-        results = self._connect().ask_all('POST', path, body)
+        results = self._withdraw_until(
+            f'/v1/keys/{key_id}/withdraw', body, time.monotonic() + wait_s
+        )
         rows = [
             {
                 'address': address,
@@ -76,6 +93,19 @@
         if len(accepted) < len(rows) or _list_unconfirmed(accepted):
             sys.exit(EXIT_UNCONFIRMED)
 
+    def _withdraw_until(
+        self, path: str, body: dict[str, str], give_up_at: float
+    ) -> dict[str, ApiResult]:
+        client = self._connect()
+        while True:
+            results = client.ask_all('POST', path, body)
+            accepted = [each.ok for each in results.values() if each.is_ok()]
+            confirmed = accepted and not _list_unconfirmed(accepted)
+            if confirmed or time.monotonic() >= give_up_at:
+                return results
+            # The command is repeatable, and its answer says who confirmed.
+            time.sleep(POLL_S)
+
 
 class FleetCommands:
     """Form the fleet and show its VMs."""
--- a/src/cranberryseam/cli/main.py
+++ b/src/cranberryseam/cli/main.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import sys
 from functools import partial
+from typing import Final
 
 import fire
 
@@ -14,6 +16,8 @@
 from .load import LoadCommands
 from .output import fail
 
+JSON_FLAG: Final = '--json'
+
 
 class CheckCommands:
     """Check files without a fleet."""
@@ -68,12 +72,24 @@
         self.load = LoadCommands(json)
 
 
+def order_arguments(arguments: list[str]) -> list[str]:
+    """Return the arguments with ``--json`` as fire understands it.
+
+    Fire takes the word after a flag for its value, and options of the tool
+    only before the command; ``--json`` may stand anywhere and has no value.
+    """
+    if JSON_FLAG not in arguments:
+        return arguments
+    others = [each for each in arguments if each != JSON_FLAG]
+    return [f'{JSON_FLAG}=True', *others]
+
+
 def main() -> None:
     """Read the command line of the tool."""
-    fire.Fire(Tool, name='cranberryseam')
+    fire.Fire(Tool, order_arguments(sys.argv[1:]), name='cranberryseam')
 
 
 if __name__ == '__main__':
     main()
 
-__all__ = ('CheckCommands', 'Tool', 'main')
+__all__ = ('CheckCommands', 'Tool', 'main', 'order_arguments')
