Use standard terms for leader terms, buckets, evidence and connections

Cause: read-through. Reign, Book, Subject and Lane were private words, and lane also means the class of a route. Change: LeaderTerm, BucketTable, TargetEvidence, TargetConnection; benchmarks say the PYTHONPATH that runs them from the root. Conclusion: a newcomer finds the field's words.

--- a/benchmarks/claim_schedules.py
+++ b/benchmarks/claim_schedules.py
@@ -1,6 +1,6 @@
 """Run many seeded schedules of idempotent requests against a naive set.
 
-Usage: ``PYTHONPATH=src:tests python benchmarks/claim_schedules.py 1500 4``
+Usage: ``PYTHONPATH=. python benchmarks/claim_schedules.py 1500 4``
 (number of schedules, number of processes). Seeds are 0, 1, 2, ...
 """
 
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -1,6 +1,6 @@
 """What control costs per VM, in virtual time with whole reducers.
 
-Run ``PYTHONPATH=src:. python benchmarks/control_cost.py run --nodes=45`` for
+Run ``PYTHONPATH=. python benchmarks/control_cost.py run --nodes=45`` for
 one fleet, or ``... sweep nodes`` for the slope along one axis: ``nodes``,
 ``targets``, ``routes``, ``accounts``, ``changes``, ``keys``, ``requests``.
 Each run of a sweep is a process of its own, so that its resident memory can
--- a/benchmarks/control_log.py
+++ b/benchmarks/control_log.py
@@ -1,6 +1,6 @@
 """Measurements of the control log in virtual time.
 
-Run ``PYTHONPATH=src:. python benchmarks/control_log.py NAME``, where the name
+Run ``PYTHONPATH=. python benchmarks/control_log.py NAME``, where the name
 is ``traffic``, ``elections``, ``steps``, ``sizes`` or ``schedules``.
 """
 
--- a/benchmarks/limits_schedules.py
+++ b/benchmarks/limits_schedules.py
@@ -1,6 +1,6 @@
 """Run many seeded schedules of token requests against one naive bucket.
 
-Usage: ``PYTHONPATH=src:tests python benchmarks/limits_schedules.py 3000 4``
+Usage: ``PYTHONPATH=. python benchmarks/limits_schedules.py 3000 4``
 (number of schedules, number of processes). Seeds are 0, 1, 2, ...
 """
 
--- a/benchmarks/ownership_state.py
+++ b/benchmarks/ownership_state.py
@@ -1,6 +1,6 @@
 """Memory, message sizes and processor time of limits and idempotency.
 
-Usage: ``PYTHONPATH=src:tests python benchmarks/ownership_state.py``
+Usage: ``PYTHONPATH=. python benchmarks/ownership_state.py``
 """
 
 from __future__ import annotations
@@ -158,7 +158,7 @@
                 answer = leader.parts[1]._owner.answer(
                     VmId('a3'), message, clock
                 )
-                leader.parts[0]._members['a-g'].reign.until = clock + 5
+                leader.parts[0]._members['a-g'].leader_term.until = clock + 5
                 for given in answer:
                     limiter._client.take_tokens(given.message, now)
 
@@ -200,7 +200,7 @@
     settings = Settings(vm, Addresses(''), ('a', 'b', 'c'), groups=groups)
     owner = BucketOwner(settings, _LeadsAll(settings, random.Random(1)))
     owner.change_configuration(before, 1)
-    owner.open_book('a7', 1)
+    owner.open_table('a7', 1)
     started = time.process_time()
     owner.change_configuration(after, 100)
     listed = time.process_time()
--- a/benchmarks/process_cost.py
+++ b/benchmarks/process_cost.py
@@ -1,6 +1,6 @@
 """What control costs in real processes on loopback addresses.
 
-Run ``PYTHONPATH=src:. python benchmarks/process_cost.py``. Three control and
+Run ``PYTHONPATH=. python benchmarks/process_cost.py``. Three control and
 eight entry VMs run idle and then with growing lists; each configuration change
 is timed until all of them have it in force.
 """
--- a/src/cranberryseam/limits/owner.py
+++ b/src/cranberryseam/limits/owner.py
@@ -35,7 +35,7 @@
 
 
 @attrs.define
-class Book:
+class BucketTable:
     """All buckets of one group during one term.
 
     Parameters
@@ -61,7 +61,7 @@
         self._region = settings.vm.region
         self._regions = settings.region_names
         self._ownership = ownership
-        self._books: dict[str, Book] = {}
+        self._tables: dict[str, BucketTable] = {}
         self._configuration: Configuration | None = None
         nothing = Configuration()
         self._changes = PendingChanges(nothing, nothing, 0)
@@ -71,17 +71,17 @@
     ) -> list[Output]:
         """Lease tokens, or say why there are none."""
         group = self._ownership.group_of(self._region, asked.account)
-        book = self._find_book(group, at)
-        if book is None:
+        table = self._find_table(group, at)
+        if table is None:
             return self._ownership.tell_leader(group, sender)
         self._change_now(asked.account)
         limit = self._find_limit(asked.account, self._configuration)
         if limit is None:
             return [_refuse(sender, asked, Verdict.account_unknown, _LAG_S)]
-        if at < book.opens_at:
-            wait_s = book.opens_at - at
+        if at < table.opens_at:
+            wait_s = table.opens_at - at
             return [_refuse(sender, asked, Verdict.not_ready, wait_s)]
-        bucket = _find_bucket(book, asked.account, limit, at)
+        bucket = _find_bucket(table, asked.account, limit, at)
         bucket.settle(at)
         count = _lease(bucket, sender, asked, at)
         given = TokensGiven(
@@ -110,7 +110,7 @@
     def change_configuration(
         self, configuration: Configuration, at: float
     ) -> None:
-        """Apply changed plans to the buckets of all books."""
+        """Apply changed plans to the buckets of all tables."""
         before = self._configuration
         if before is not None:
             if (
@@ -122,14 +122,14 @@
             # The changes before this one refer to the configuration between.
             self.apply_changes(len(self._changes))
         self._configuration = configuration
-        for group, book in tuple(self._books.items()):
-            if self._ownership.term_of(group, at) != book.term:
-                self._books.pop(group)
+        for group, table in tuple(self._tables.items()):
+            if self._ownership.term_of(group, at) != table.term:
+                self._tables.pop(group)
             elif before is None:
                 # All accounts are new to this VM, as to a new leader.
-                book.buckets.clear()
-                book.opens_at = max(book.opens_at, at + _HANDOVER_S)
-        if before is not None and self._books:
+                table.buckets.clear()
+                table.opens_at = max(table.opens_at, at + _HANDOVER_S)
+        if before is not None and self._tables:
             self._changes = PendingChanges(before, configuration, at)
 
     def apply_changes(self, most: int) -> bool:
@@ -142,43 +142,43 @@
             self._change_account(account, self._changes)
         return bool(self._changes)
 
-    def open_book(self, group: str, at: float) -> None:
+    def open_table(self, group: str, at: float) -> None:
         """Start the empty buckets of a group that this VM now leads."""
-        self._find_book(group, at)
+        self._find_table(group, at)
 
     def sweep(self, at: float) -> list[Output]:
-        """Drop buckets that are full again and books of past terms."""
+        """Drop buckets that are full again and tables of past terms."""
         dropped = 0
-        for group, book in tuple(self._books.items()):
-            if self._ownership.term_of(group, at) != book.term:
-                self._books.pop(group)
-            elif at >= book.swept_at + _SWEEP_S:
-                book.swept_at = at
-                dropped += _drop_full(book, self._changes, at)
+        for group, table in tuple(self._tables.items()):
+            if self._ownership.term_of(group, at) != table.term:
+                self._tables.pop(group)
+            elif at >= table.swept_at + _SWEEP_S:
+                table.swept_at = at
+                dropped += _drop_full(table, self._changes, at)
         if dropped:
             return [IncrementCounter('limits.bucket_dropped', dropped)]
         return []
 
     def count_buckets(self) -> int:
         """Return the number of buckets in memory."""
-        return sum(len(book.buckets) for book in self._books.values())
+        return sum(len(table.buckets) for table in self._tables.values())
 
-    def _find_book(self, group: str, at: float) -> Book | None:
+    def _find_table(self, group: str, at: float) -> BucketTable | None:
         term = self._ownership.term_of(group, at)
         if term is None:
-            self._books.pop(group, None)
+            self._tables.pop(group, None)
             return None
-        book = self._books.get(group)
-        if book is None or book.term != term:
+        table = self._tables.get(group)
+        if table is None or table.term != term:
             opens_at = self._ownership.leads_since(group) + _HANDOVER_S
-            book = Book(term, opens_at, at)
-            self._books[group] = book
-        return book
+            table = BucketTable(term, opens_at, at)
+            self._tables[group] = table
+        return table
 
     def _find_kept_bucket(self, account: str, at: float) -> Bucket | None:
         group = self._ownership.group_of(self._region, account)
-        book = self._find_book(group, at)
-        return book.buckets.get(account) if book else None
+        table = self._find_table(group, at)
+        return table.buckets.get(account) if table else None
 
     def _find_limit(
         self, account: str, configuration: Configuration | None
@@ -203,29 +203,31 @@
         if limit == old:
             return
         group = self._ownership.group_of(self._region, account)
-        book = self._books.get(group)
-        if book is None:
+        table = self._tables.get(group)
+        if table is None:
             return
         if limit is None:
-            book.buckets.pop(account, None)
+            table.buckets.pop(account, None)
         elif old is None:
             # It may have been removed, or moved from another region, a
             # moment ago, with leases that are still in use.
-            opens_at = max(at + _HANDOVER_S, book.opens_at)
-            book.buckets[account] = Bucket(limit, 0, opens_at)
+            opens_at = max(at + _HANDOVER_S, table.opens_at)
+            table.buckets[account] = Bucket(limit, 0, opens_at)
         else:
-            bucket = _find_bucket(book, account, old, at)
+            bucket = _find_bucket(table, account, old, at)
             bucket.change_limit(limit, at)
 
 
-def _find_bucket(book: Book, account: str, limit: Limit, at: float) -> Bucket:
-    """Return a kept bucket, or one that has filled since the book opened."""
-    bucket = book.buckets.get(account)
+def _find_bucket(
+    table: BucketTable, account: str, limit: Limit, at: float
+) -> Bucket:
+    """Return a kept bucket, or one that has filled since the table opened."""
+    bucket = table.buckets.get(account)
     if bucket is None:
-        filled = limit.rate * max(0, at - book.opens_at)
+        filled = limit.rate * max(0, at - table.opens_at)
         level = min(limit.burst, filled)
-        bucket = Bucket(limit, level, max(at, book.opens_at))
-        book.buckets[account] = bucket
+        bucket = Bucket(limit, level, max(at, table.opens_at))
+        table.buckets[account] = bucket
     return bucket
 
 
@@ -249,17 +251,17 @@
     )
 
 
-def _drop_full(book: Book, changes: PendingChanges, at: float) -> int:
+def _drop_full(table: BucketTable, changes: PendingChanges, at: float) -> int:
     dropped = 0
-    for account, bucket in tuple(book.buckets.items()):
+    for account, bucket in tuple(table.buckets.items()):
         if account in changes:
             continue
         bucket.settle(at)
         # After a change of rate the time since the opening may be too short
         # to compute the level from.
-        filled = bucket.limit.rate * (at - book.opens_at)
+        filled = bucket.limit.rate * (at - table.opens_at)
         if bucket.full and filled >= bucket.limit.burst:
-            book.buckets.pop(account)
+            table.buckets.pop(account)
             dropped += 1
     return dropped
 
--- a/src/cranberryseam/limits/part.py
+++ b/src/cranberryseam/limits/part.py
@@ -127,7 +127,7 @@
         if leader is None:
             return []
         if leader == self._vm:
-            self._owner.open_book(group, at)
+            self._owner.open_table(group, at)
         return self._settle(self._client.follow_leader(group, at), at)
 
     def _receive(
--- a/src/cranberryseam/ownership/member.py
+++ b/src/cranberryseam/ownership/member.py
@@ -46,7 +46,7 @@
 
 
 @attrs.define
-class Reign:
+class LeaderTerm:
     """Candidacy or leadership of one term."""
 
     term: int
@@ -78,7 +78,7 @@
         """Start as a follower that abstains for one lease."""
         self.group = group
         self.role = Role.follower
-        self.reign = Reign(0, 0)
+        self.leader_term = LeaderTerm(0, 0)
         self.voter = Voter(started_at + LEASE_S + LEASE_MARGIN_S)
         self.known = ''
         self.known_term = 0
@@ -93,19 +93,19 @@
 
     def leads(self, at: float) -> bool:
         """Return whether this VM holds the group's lease."""
-        return self.role is Role.leader and at < self.reign.until
+        return self.role is Role.leader and at < self.leader_term.until
 
     def refresh(self, at: float) -> list[Output]:
         """Step down if the lease is over; forget a leader that is silent."""
         outputs: list[Output] = []
-        if self.role is Role.leader and at >= self.reign.until:
+        if self.role is Role.leader and at >= self.leader_term.until:
             outputs = [
                 IncrementCounter('ownership.lease_lost'),
                 *self._give_up(at),
             ]
         if self.role is Role.leader:
             self.known = self._vm
-            self.known_term = self.reign.term
+            self.known_term = self.leader_term.term
         elif self.voter.holder_at(at) not in {'', self._vm}:
             self.known = self.voter.holder
             self.known_term = self.voter.granted
@@ -118,8 +118,8 @@
         match self.role:
             case Role.leader:
                 return self._ask_for_votes(at)
-            case Role.candidate if at < self.reign.asked_at + _ATTEMPT_S:
-                return [self._set_timer(self.reign.asked_at + _ATTEMPT_S)]
+            case Role.candidate if at < self.leader_term.asked_at + _ATTEMPT_S:
+                return [self._set_timer(self.leader_term.asked_at + _ATTEMPT_S)]
             case Role.candidate:
                 return self._give_up(at)
         wait_s = self.voter.count_wait_s(self._vm, at)
@@ -174,7 +174,7 @@
             ProbeAnswered(
                 self.group.name,
                 message.probe,
-                max(self.voter.term, self.reign.term),
+                max(self.voter.term, self.leader_term.term),
                 self.voter.holder_at(at),
                 self.voter.granted,
                 wait_s,
@@ -199,24 +199,24 @@
         if self._stopping or not self.voter.grant(self._vm, term, at):
             return []
         self.role = Role.candidate
-        self.reign = Reign(term, at)
+        self.leader_term = LeaderTerm(term, at)
         return self._ask_for_votes(at)
 
     def _ask_for_votes(self, at: float) -> list[Output]:
-        self.voter.grant(self._vm, self.reign.term, at)
+        self.voter.grant(self._vm, self.leader_term.term, at)
         due = at + _ATTEMPT_S
         if self.role is Role.leader:
-            due = min(at + RENEWAL_S, self.reign.until)
+            due = min(at + RENEWAL_S, self.leader_term.until)
         return [
             self._set_timer(due),
-            *self._send(LeaseAsked(self.group.name, self.reign.term, at)),
+            *self._send(LeaseAsked(self.group.name, self.leader_term.term, at)),
         ]
 
     def _vote(
         self, sender: VmId, message: LeaseAsked, at: float
     ) -> list[Output]:
         outputs: list[Output] = []
-        if self._yields_to(sender) and message.term > self.reign.term:
+        if self._yields_to(sender) and message.term > self.leader_term.term:
             outputs = self._give_up(at)
         if not self.voter.grant(sender, message.term, at):
             return outputs
@@ -232,18 +232,20 @@
 
     def _take_vote(self, message: LeaseGiven, at: float) -> list[Output]:
         current = self.role is not Role.follower
-        if not current or message.term != self.reign.term:
+        if not current or message.term != self.leader_term.term:
             return []
         if message.sent_at > at:
             return []
         # Own vote and one other are the majority of three. The own vote was
         # given at the sending as well, and lasts longer by the margin.
-        self.reign.until = max(self.reign.until, message.sent_at + LEASE_S)
-        if self.role is Role.leader or at >= self.reign.until:
+        self.leader_term.until = max(
+            self.leader_term.until, message.sent_at + LEASE_S
+        )
+        if self.role is Role.leader or at >= self.leader_term.until:
             return []
         self.role = Role.leader
-        self.reign.since = at
-        due = min(self.reign.asked_at + RENEWAL_S, self.reign.until)
+        self.leader_term.since = at
+        due = min(self.leader_term.asked_at + RENEWAL_S, self.leader_term.until)
         return [
             IncrementCounter('ownership.lease_won'),
             self._set_timer(due),
@@ -261,9 +263,9 @@
     def _give_up(self, at: float) -> list[Output]:
         """End the candidacy or leadership of this term for good."""
         self.role = Role.follower
-        self.voter.release(self._vm, self.reign.term)
+        self.voter.release(self._vm, self.leader_term.term)
         self.known = ''
-        released = LeaseReleased(self.group.name, self.reign.term)
+        released = LeaseReleased(self.group.name, self.leader_term.term)
         # The others get a chance first: this member may be half cut off.
         due = at + RENEWAL_S + self._draw_jitter()
         return [*self._send(released), self._wait_for_turn(due)]
--- a/src/cranberryseam/ownership/part.py
+++ b/src/cranberryseam/ownership/part.py
@@ -88,11 +88,11 @@
         member = self._members.get(group)
         if member is None or not member.leads(at):
             return None
-        return member.reign.term
+        return member.leader_term.term
 
     def leads_since(self, group: str) -> float:
         """Return when this VM won the lease it holds."""
-        return self._members[group].reign.since
+        return self._members[group].leader_term.since
 
     def members_of(self, group: str) -> tuple[VmId, ...]:
         """Return the three members of a group in their preferred order."""
--- a/src/cranberryseam/routing/subject.py
+++ b/src/cranberryseam/routing/evidence.py
@@ -16,7 +16,7 @@
 
 
 @attrs.define(eq=False)
-class Subject:
+class TargetEvidence:
     """What the leader knows of one target."""
 
     announcement: Announcement
@@ -92,18 +92,18 @@
         return self.total_failed
 
     def add_rates(
-        self, subject: Subject, kept: float, batch_kept: float
+        self, evidence: TargetEvidence, kept: float, batch_kept: float
     ) -> None:
         """Add to the rates of a target."""
         failed = self.total_failed
         slow = self.total_slow
         seen = self.total
-        subject.fail_rate.add(kept, failed, seen)
-        subject.slow_rate.add(kept, slow, seen)
-        subject.fail_batch.add(batch_kept, failed, seen)
-        subject.slow_batch.add(batch_kept, slow, seen)
+        evidence.fail_rate.add(kept, failed, seen)
+        evidence.slow_rate.add(kept, slow, seen)
+        evidence.fail_batch.add(batch_kept, failed, seen)
+        evidence.slow_batch.add(batch_kept, slow, seen)
         shed = self.total_shed
-        subject.shed_batch.add(batch_kept, shed, seen + shed)
+        evidence.shed_batch.add(batch_kept, shed, seen + shed)
 
     def add_row(self, vm: VmId, row: OutcomeRow, failed: int) -> None:
         """Add one row with the failures that count."""
@@ -124,4 +124,4 @@
     pairs[vm] = (bad + added[0], good + added[1])
 
 
-__all__ = ('Counts', 'Subject')
+__all__ = ('Counts', 'TargetEvidence')
--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -19,10 +19,10 @@
     healthy_rate,
 )
 from .ejections import Ejections
+from .evidence import Counts, TargetEvidence
 from .floor import measure_capacity
 from .messages import OutcomeReport, ServiceView
 from .model import Tuning
-from .subject import Counts, Subject
 from .target import hash_name
 
 if TYPE_CHECKING:
@@ -81,9 +81,9 @@
         self.service = service
         self.floor = 1.0
         self.ejections = Ejections(tuning, rng)
-        self.subjects: dict[TargetId, Subject] = {}
+        self.targets: dict[TargetId, TargetEvidence] = {}
         self.decided_at = since
-        self._by_hash: dict[int, Subject] = {}
+        self._by_hash: dict[int, TargetEvidence] = {}
         self._tuning = tuning
         self._since = since
         self._sequence = 0
@@ -100,14 +100,14 @@
             Time at which the target became ready after a cold start.
 
         """
-        subject = self.subjects.get(announcement.target)
-        if subject is None:
-            subject = Subject(announcement)
-            self.subjects[announcement.target] = subject
-            self._by_hash[hash_name(announcement.target)] = subject
-        subject.announcement = announcement
-        subject.silent = silent
-        subject.ready_at = ready_at
+        evidence = self.targets.get(announcement.target)
+        if evidence is None:
+            evidence = TargetEvidence(announcement)
+            self.targets[announcement.target] = evidence
+            self._by_hash[hash_name(announcement.target)] = evidence
+        evidence.announcement = announcement
+        evidence.silent = silent
+        evidence.ready_at = ready_at
 
     def receive(self, vm: VmId, report: OutcomeReport, at: float) -> None:
         """Store the rows of a report until the next decision."""
@@ -122,9 +122,9 @@
         reporter.sent_at = report.sent_at
         reporter.heard_at = at
         for row in report.rows:
-            subject = self._by_hash.get(row.target)
-            if subject is not None:
-                subject.rows.append((vm, row))
+            evidence = self._by_hash.get(row.target)
+            if evidence is not None:
+                evidence.rows.append((vm, row))
 
     def forget_vm(self, vm: VmId) -> None:
         """Drop a VM that left."""
@@ -144,9 +144,9 @@
             self._reporters[vm].sent_at,
             self.ejections.rows_for(vm),
             tuple(
-                (key, round(subject.load * _HUNDREDTHS))
-                for key, subject in self._by_hash.items()
-                if subject.load
+                (key, round(evidence.load * _HUNDREDTHS))
+                for key, evidence in self._by_hash.items()
+                if evidence.load
             ),
         )
 
@@ -164,8 +164,8 @@
                 lifted.append(name)
         returned = self.ejections.advance(at, self.reporters())
         for name in (*lifted, *returned):
-            self.subjects[name].failed.reset()
-            self.subjects[name].slow.reset()
+            self.targets[name].failed.reset()
+            self.targets[name].slow.reset()
         ejected: list[TargetId] = []
         if self._may_eject(at, healthy_failed):
             ejected = self._eject(at)
@@ -179,56 +179,56 @@
             return False
         half = self._tuning.threshold / 2
         failing = sum(
-            name in self.ejections.active or subject.strongest()[0] >= half
-            for name, subject in self.subjects.items()
+            name in self.ejections.active or evidence.strongest()[0] >= half
+            for name, evidence in self.targets.items()
         )
-        return failing <= len(self.subjects) * _MASS_SHARE
+        return failing <= len(self.targets) * _MASS_SHARE
 
     def _eject(self, at: float) -> list[TargetId]:
         ejected = []
         suspects = sorted(
-            self.subjects.items(),
+            self.targets.items(),
             key=lambda pair: (-pair[1].strongest()[0], pair[0]),
         )
-        for name, subject in suspects:
-            total, reason, score = subject.strongest()
+        for name, evidence in suspects:
+            total, reason, score = evidence.strongest()
             if total < self._tuning.threshold:
                 break
-            if self._is_proven(name, subject, score, at):
+            if self._is_proven(name, evidence, score, at):
                 self.ejections.eject(name, reason, total, at)
                 ejected.append(name)
         return ejected
 
     def _is_proven(
-        self, name: TargetId, subject: Subject, score: Score, at: float
+        self, name: TargetId, evidence: TargetEvidence, score: Score, at: float
     ) -> bool:
         held = self.ejections.held(at)
-        if name in held or not subject.ready:
+        if name in held or not evidence.ready:
             return False
         needed = self._tuning.threshold * self._tuning.rest_share
         if score.rest() < needed:
             return False
         capacity = measure_capacity(self._known(), held)
-        return capacity.allows_loss(subject.announcement.slots, self.floor)
+        return capacity.allows_loss(evidence.announcement.slots, self.floor)
 
-    def _is_warming_up(self, subject: Subject) -> bool:
-        ready_s = self.decided_at - subject.ready_at
-        return not subject.ready or ready_s < self._tuning.grace_s
+    def _is_warming_up(self, evidence: TargetEvidence) -> bool:
+        ready_s = self.decided_at - evidence.ready_at
+        return not evidence.ready or ready_s < self._tuning.grace_s
 
     def _known(self) -> list[tuple[Announcement, bool]]:
         return [
-            (subject.announcement, subject.silent)
-            for subject in self.subjects.values()
+            (evidence.announcement, evidence.silent)
+            for evidence in self.targets.values()
         ]
 
     def _count_rows(self, elapsed: float) -> float:
         kept = forget_factor(elapsed)
         batch_kept = forget_factor(elapsed * _BATCH_SPEED)
         counted = {}
-        for name, subject in self.subjects.items():
-            counted[name] = Counts.collect(subject.take_rows())
-            counted[name].add_rates(subject, kept, batch_kept)
-            subject.learn_load(counted[name].busy_ms / _MS / elapsed)
+        for name, evidence in self.targets.items():
+            counted[name] = Counts.collect(evidence.take_rows())
+            counted[name].add_rates(evidence, kept, batch_kept)
+            evidence.learn_load(counted[name].busy_ms / _MS / elapsed)
         failed, slow = self._baselines()
         for tested, seen in counted.items():
             if tested in self.ejections.active:
@@ -240,30 +240,30 @@
     def _test(
         self, name: TargetId, counts: Counts, failed: float, slow: float
     ) -> None:
-        subject = self.subjects[name]
-        if self._is_warming_up(subject):
+        evidence = self.targets[name]
+        if self._is_warming_up(evidence):
             # Otherwise the score of its cold start ejects it afterwards.
-            subject.failed.reset()
-            subject.slow.reset()
+            evidence.failed.reset()
+            evidence.slow.reset()
             return
-        _test(subject.failed, FAILED, failed, counts.failed)
-        _test(subject.slow, SLOW, slow, counts.slow)
+        _test(evidence.failed, FAILED, failed, counts.failed)
+        _test(evidence.slow, SLOW, slow, counts.slow)
 
     def _baselines(self) -> tuple[float, float]:
         active = [
-            subject
-            for name, subject in self.subjects.items()
+            evidence
+            for name, evidence in self.targets.items()
             if name not in self.ejections.active
         ]
         failed = _baseline(
-            [subject.fail_rate for subject in active],
-            [subject.fail_batch for subject in active],
+            [evidence.fail_rate for evidence in active],
+            [evidence.fail_batch for evidence in active],
         )
         slow = _baseline(
-            [subject.slow_rate for subject in active],
-            [subject.slow_batch for subject in active],
+            [evidence.slow_rate for evidence in active],
+            [evidence.slow_batch for evidence in active],
         )
-        shed = healthy_rate(subject.shed_batch for subject in active)
+        shed = healthy_rate(evidence.shed_batch for evidence in active)
         # While the better half sheds, slowness comes from the load. A single
         # target that sheds may do so because it is slow.
         return failed, 1 if shed > _SHED_SHARE else slow
@@ -276,14 +276,14 @@
         for vm in tuple(self._reporters):
             if at >= self._reporters[vm].heard_at + _REPORTER_S:
                 self._reporters.pop(vm)
-        for name in tuple(self.subjects):
-            subject = self.subjects[name]
-            if not subject.silent:
-                subject.silent_at = at
+        for name in tuple(self.targets):
+            evidence = self.targets[name]
+            if not evidence.silent:
+                evidence.silent_at = at
                 continue
-            kept_s = 0 if subject.draining else _SILENT_KEPT_S
-            if at >= subject.silent_at + kept_s:
-                self.subjects.pop(name)
+            kept_s = 0 if evidence.draining else _SILENT_KEPT_S
+            if at >= evidence.silent_at + kept_s:
+                self.targets.pop(name)
                 self._by_hash.pop(hash_name(name), None)
                 self.ejections.forget(name)
 
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -63,7 +63,7 @@
         self._trace = WriteTrace()
         self._go: asyncio.Future[None] = loop.create_future()
         self._response: httpx.Response | None = None
-        self._lane = ports.upstream.take((effect.host, effect.port))
+        self._connection = ports.upstream.take((effect.host, effect.port))
         self._released = False
         self._ready = False
         self._forwarding = False
@@ -131,7 +131,7 @@
 
     async def _exchange(self) -> AttemptFailure | None:
         outgoing = self._call.build_outgoing(self._effect.timeout_s)
-        self._response = await self._lane.send(outgoing, self._trace)
+        self._response = await self._connection.send(outgoing, self._trace)
         answer = open_answer(self._response, outgoing.method)
         if answer is None:
             return AttemptFailure.answer_invalid
@@ -185,9 +185,9 @@
         if self._response is not None:
             await self._response.aclose()
         if reusable:
-            self._ports.upstream.put_back(self._lane)
+            self._ports.upstream.put_back(self._connection)
         else:
-            await self._lane.transport.aclose()
+            await self._connection.transport.aclose()
 
     def _report_ready(self, answer: Answer) -> None:
         effect = self._effect
--- a/src/cranberryseam/serving/upstream.py
+++ b/src/cranberryseam/serving/upstream.py
@@ -51,7 +51,7 @@
 
 
 @attrs.define(eq=False)
-class Lane:
+class TargetConnection:
     """A connection to a target, used by one request at a time.
 
     Parameters
@@ -102,26 +102,26 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         """Create no connection yet."""
         self._clock = clock
-        self._idle: dict[Address, list[Lane]] = {}
+        self._idle: dict[Address, list[TargetConnection]] = {}
         # Targets are reached by plain HTTP; a context made once saves each
         # new transport from loading certificates.
         self._sweep: asyncio.TimerHandle | None = None
         self._sweeping: asyncio.Task[None] | None = None
         self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
-    def take(self, address: Address) -> Lane:
+    def take(self, address: Address) -> TargetConnection:
         """Return an idle connection to an address, or a new one."""
-        lanes = self._idle.get(address)
-        if lanes and self._clock() - lanes[-1].idle_since < _IDLE_S:
-            return lanes.pop()
+        connections = self._idle.get(address)
+        if connections and self._clock() - connections[-1].idle_since < _IDLE_S:
+            return connections.pop()
         # If the last used one is too old, so are all others; ``sweep``
         # closes them.
-        return Lane(address, self._open_transport())
+        return TargetConnection(address, self._open_transport())
 
-    def put_back(self, lane: Lane) -> None:
+    def put_back(self, connection: TargetConnection) -> None:
         """Keep a connection whose last answer was read to its end."""
-        lane.idle_since = self._clock()
-        self._idle.setdefault(lane.address, []).append(lane)
+        connection.idle_since = self._clock()
+        self._idle.setdefault(connection.address, []).append(connection)
         if self._sweep is None:
             loop = asyncio.get_running_loop()
             self._sweep = loop.call_later(_IDLE_S, self._start_sweep)
@@ -129,10 +129,18 @@
     async def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
         oldest = self._clock() - _IDLE_S
-        closing: list[Lane] = []
-        for address, lanes in tuple(self._idle.items()):
-            kept = [lane for lane in lanes if lane.idle_since > oldest]
-            closing.extend(lane for lane in lanes if lane not in kept)
+        closing: list[TargetConnection] = []
+        for address, connections in tuple(self._idle.items()):
+            kept = [
+                connection
+                for connection in connections
+                if connection.idle_since > oldest
+            ]
+            closing.extend(
+                connection
+                for connection in connections
+                if connection not in kept
+            )
             if kept:
                 self._idle[address] = kept
             else:
@@ -146,7 +154,11 @@
         """Close all idle connections."""
         if self._sweep is not None:
             self._sweep.cancel()
-        closing = [lane for lanes in self._idle.values() for lane in lanes]
+        closing = [
+            connection
+            for connections in self._idle.values()
+            for connection in connections
+        ]
         self._idle.clear()
         await _close_all(closing)
 
@@ -170,8 +182,10 @@
     return httpx.URL(f'http://{authority}/'), authority.encode()
 
 
-async def _close_all(lanes: Iterable[Lane]) -> None:
-    await asyncio.gather(*(lane.transport.aclose() for lane in lanes))
+async def _close_all(connections: Iterable[TargetConnection]) -> None:
+    await asyncio.gather(
+        *(connection.transport.aclose() for connection in connections)
+    )
 
 
-__all__ = ('Address', 'Lane', 'Outgoing', 'Upstream', 'WriteTrace')
+__all__ = ('Address', 'TargetConnection', 'Outgoing', 'Upstream', 'WriteTrace')
--- a/tests/routing/test_detection.py
+++ b/tests/routing/test_detection.py
@@ -142,7 +142,7 @@
         for _ in range(20):
             for vm in VMS[:2]:
                 driver.pool.receive(vm, report, driver.at + 0.1)
-        pending = driver.pool.subjects['t1'].rows
+        pending = driver.pool.targets['t1'].rows
         self.assertEqual(2, len(pending))
 
     def test_trial_grows_and_then_returns_the_target(self) -> None:
@@ -196,8 +196,8 @@
         capped.run(0.5, targets={'t1'}, account='a')
         free.run(0.5, targets={'t1'})
         self.assertLess(
-            capped.pool.subjects['t1'].failed.total,
-            free.pool.subjects['t1'].failed.total / 2,
+            capped.pool.targets['t1'].failed.total,
+            free.pool.targets['t1'].failed.total / 2,
         )
 
 
