Stop the process when an event or an effect fails

Cause: the read-through found that an exception in dispatch left the mark "running" set, so that a process with a full disk stayed alive and put every later event into a queue that nobody emptied. Change: the executor logs, applies no further event, asks for the stop and raises; the daemon exits with 1. Conclusion: a failed process is replaced instead of hanging.

--- a/src/cranberryseam/daemon/executor.py
+++ b/src/cranberryseam/daemon/executor.py
@@ -54,6 +54,7 @@
         self._handlers: list[EffectHandler] = []
         self._events: deque[Event] = deque()
         self._running = False
+        self.failed = False
 
     def add_handler(self, handler: EffectHandler) -> None:
         """Add a handler; handlers are tried in the order of their addition."""
@@ -68,7 +69,15 @@
         if self._running:
             return
         self._running = True
-        self._drain_events()
+        try:
+            self._drain_events()
+        except Exception:
+            # State may be half changed, so no further event is applied: a
+            # process that stops is replaced, one that hangs is not.
+            _logger.exception('an event or effect failed; stopping')
+            self.failed = True
+            self._stop()
+            raise
         self._running = False
 
     def _drain_events(self) -> None:
--- a/src/cranberryseam/daemon/main.py
+++ b/src/cranberryseam/daemon/main.py
@@ -15,6 +15,7 @@
 from .logs import configure_logs
 from .program import open_program
 
+EXIT_FAILED: Final = 1
 EXIT_UNUSABLE_SETTINGS: Final = 2
 EXIT_UNUSABLE_DISK: Final = 3
 EXIT_UNUSABLE_ADDRESS: Final = 4
@@ -56,6 +57,8 @@
             folder = settings.control.data_folder
             _exit_with(f'{folder}: {program.error}', EXIT_UNUSABLE_DISK)
         anyio.run(program.ok.run, backend_options={'use_uvloop': True})
+        if program.ok.executor.failed:
+            _exit_with('stopped after an internal error', EXIT_FAILED)
 
 
 def _relax_collector() -> None:
