Drop a handler of the key table that no event reaches

Cause: the node turns DrainVm into StopRequested, so the key table never got the command; and its page said that no other part withdraws readiness, which the planned stop does. Change: the handler goes; the docstring says what is so. Conclusion: one way into the planned stop.

--- a/src/cranberryseam/keys/table.py
+++ b/src/cranberryseam/keys/table.py
@@ -8,10 +8,8 @@
 
 from expression import Error, Ok, Result
 
-from ..core.commands import DrainVm
 from ..core.effects import SetReadiness, SetTimer
 from ..core.events import (
-    CommandReceived,
     Event,
     PauseSuspected,
     StopRequested,
@@ -45,7 +43,7 @@
     """Looks up keys by hash, and owns the readiness of this VM.
 
     The VM is ready while it has a configuration, its keys are fresh, and it
-    was not asked to stop. No other part emits ``SetReadiness``.
+    was not asked to stop. Besides, only the planned stop withdraws it.
 
     Parameters
     ----------
@@ -65,7 +63,6 @@
         # Looked up by type: this is on the path of each request.
         self._handlers: dict[type, Callable[[Any], None]] = {
             StopRequested: self._stop,
-            CommandReceived: self._drain,
             ConfigurationChanged: self._configure,
             KeysWithdrawn: self._withdraw,
             RoundTripCompleted: self._complete,
@@ -106,9 +103,6 @@
     def _stop(self, event: StopRequested) -> None:
         self._stopping = True
 
-    def _drain(self, event: CommandReceived) -> None:
-        self._stopping |= isinstance(event.command, DrainVm)
-
     def _configure(self, notice: ConfigurationChanged) -> None:
         configuration = notice.configuration
         self._configuration = configuration
