--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -6,9 +6,18 @@
 
 import attrs
 
-from . import control, fleet, idempotency, limits, ownership, routing
+from . import (
+    attachment,
+    control,
+    fleet,
+    idempotency,
+    limits,
+    ownership,
+    routing,
+)
 from .configuration.settings import Settings
 from .core import commands as cmd
+from .core import documents as docs
 from .core import events as ev
 from .core import notices as nt
 from .core.codec import Codec
@@ -31,6 +40,7 @@
     *limits.MESSAGES,
     *idempotency.MESSAGES,
     *routing.MESSAGES,
+    *attachment.MESSAGES,
 )
 
 
@@ -66,32 +76,22 @@
 
     """
     seeds = Seeds(seed)
+    if settings.control.seeds:
+        return _build_attached(settings, stored, seeds)
     owners = ownership.Ownership(settings, seeds.derive('ownership'))
     keys = KeyTable(settings)
     limiter = limits.Limiter(settings, owners, seeds.derive('limits'))
     claims = idempotency.Claims(settings, owners, seeds.derive('idempotency'))
     router = routing.Router(settings, owners, seeds.derive('routing'))
-    coordinator = Coordinator(Collaborators(keys, limiter, claims, router))
+    coordinator = Coordinator(
+        Collaborators(keys, limiter, claims, router),
+        seeds.derive('requests'),
+    )
     registrations = [
         _register_fleet(settings, seeds),
-        Registration(
-            'keys',
-            keys,
-            inputs=(
-                *_LIFECYCLE,
-                nt.ConfigurationChanged,
-                nt.KeysWithdrawn,
-                nt.RoundTripCompleted,
-                nt.RegionsHeard,
-            ),
-        ),
+        _register_keys(keys),
         _register_ownership(owners),
-        Registration(
-            'limits',
-            limiter,
-            messages=limits.MESSAGES,
-            inputs=(*_LIFECYCLE, *_CHANGES, nt.LeadershipChanged),
-        ),
+        _register_limits(limiter),
         Registration(
             'idempotency',
             claims,
@@ -100,32 +100,118 @@
         ),
         _register_router(router),
         _register_coordinator(coordinator),
+        _register_drain(settings, coordinator),
+    ]
+    if stored is not None:
+        replica = control.Replica(settings, stored, seeds.derive('control'))
+        registrations.insert(0, _register_control(replica))
+    return Node(settings.vm_id, registrations)
+
+
+def _build_attached(
+    settings: Settings, stored: control.StoredState | None, seeds: Seeds
+) -> Node:
+    """Return the reducer of a VM that is attached to the control leader."""
+    attached = attachment.Attachment(settings, seeds.derive('attachment'))
+    replica = None
+    registrations: list[Registration] = []
+    if stored is not None:
+        replica = control.Replica(settings, stored, seeds.derive('control'))
+        hub = attachment.Hub(settings.vm_id, replica, attached)
+        registrations += [_register_control(replica), _register_hub(hub)]
+    owners = attachment.ControlOwners(attached, replica)
+    keys = KeyTable(settings)
+    limiter = limits.Limiter(settings, owners, seeds.derive('limits'))
+    router = routing.Router(
+        settings, owners, seeds.derive('routing'), routing.ATTACHED
+    )
+    coordinator = Coordinator(
+        Collaborators(keys, limiter, idempotency.AbsentClaims(), router),
+        seeds.derive('requests'),
+    )
+    registrations += [
         Registration(
-            DRAIN_PART,
-            Drain(settings.requests, coordinator),
-            inputs=(ev.StopRequested,),
+            attachment.CLIENT_PART,
+            attached,
+            messages=attachment.MESSAGES,
+            inputs=_LIFECYCLE,
         ),
+        _register_keys(keys),
+        _register_limits(limiter),
+        _register_router(router),
+        _register_coordinator(coordinator),
+        _register_drain(settings, coordinator),
     ]
-    if stored is not None:
-        registrations.insert(0, _register_control(settings, stored, seeds))
     return Node(settings.vm_id, registrations)
 
 
-def _register_control(
-    settings: Settings, stored: control.StoredState, seeds: Seeds
+def _register_keys(keys: KeyTable) -> Registration:
+    return Registration(
+        'keys',
+        keys,
+        inputs=(
+            *_LIFECYCLE,
+            nt.ConfigurationChanged,
+            nt.KeysWithdrawn,
+            nt.RoundTripCompleted,
+            nt.RegionsHeard,
+        ),
+    )
+
+
+def _register_limits(limiter: limits.Limiter) -> Registration:
+    return Registration(
+        'limits',
+        limiter,
+        messages=limits.MESSAGES,
+        inputs=(*_LIFECYCLE, *_CHANGES, nt.LeadershipChanged),
+    )
+
+
+def _register_drain(
+    settings: Settings, coordinator: Coordinator
 ) -> Registration:
+    return Registration(
+        DRAIN_PART,
+        Drain(settings.requests, coordinator),
+        inputs=(ev.StopRequested,),
+    )
+
+
+def _register_hub(hub: attachment.Hub) -> Registration:
+    return Registration(
+        attachment.HUB_PART,
+        hub,
+        messages=attachment.MESSAGES,
+        inputs=(
+            ev.Started,
+            ev.TargetAnnounced,
+            nt.EntryCommitted,
+            nt.SnapshotInstalled,
+        ),
+    )
+
+
+def _register_control(replica: control.Replica) -> Registration:
     return Registration(
         'control',
-        control.Replica(settings, stored, seeds.derive('control')),
+        replica,
         messages=control.MESSAGES,
         commands=(
             cmd.InitialiseFleet,
             cmd.ApplyLists,
             cmd.GrantKey,
+            docs.PutDocument,
+            docs.ReadDocument,
             cmd.ReplaceReplica,
             cmd.ShowControl,
         ),
-        inputs=(*_LIFECYCLE, ev.StorageSynced, nt.KeysWithdrawn),
+        inputs=(
+            *_LIFECYCLE,
+            ev.StorageSynced,
+            nt.KeysWithdrawn,
+            nt.DepartureReported,
+        ),
     )
 
 
--- /dev/null
+++ b/src/cranberryseam/attachment/__init__.py
@@ -0,0 +1,22 @@
+"""Attachment of all VMs to the control leader.
+
+Where VMs come and go and only a few control addresses are known, each VM polls
+the leader of the control log. The reply proves how old the VM's knowledge is
+and brings what changed: the configuration, and the table of targets.
+"""
+
+from .client import PART as CLIENT_PART
+from .client import Attachment
+from .hub import PART as HUB_PART
+from .hub import Hub
+from .messages import MESSAGES
+from .owners import ControlOwners
+
+__all__ = (
+    'CLIENT_PART',
+    'HUB_PART',
+    'MESSAGES',
+    'Attachment',
+    'ControlOwners',
+    'Hub',
+)
--- /dev/null
+++ b/src/cranberryseam/attachment/client.py
@@ -0,0 +1,242 @@
+"""The part that keeps a VM attached to the control leader."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Mapping
+from typing import Final
+
+from ..configuration.settings import Settings
+from ..control.machine import restore_configuration
+from ..core.effects import (
+    Effect,
+    IncrementCounter,
+    SendMessage,
+    SetTimer,
+    WriteLog,
+)
+from ..core.events import Event, MessageReceived, Started, TimerFired
+from ..core.notices import (
+    ConfigurationChanged,
+    LeadershipChanged,
+    Notice,
+    RoundTripCompleted,
+    TargetChanged,
+)
+from ..types import Output, TargetId, VmId
+from .messages import LeaderHint, Poll, PollReply, TargetRow
+
+PART: Final = 'attachment'
+GROUP: Final = 'control'
+_TIMER: Final = 'poll'
+# A change is known everywhere after this, a round trip (60 ms between
+# regions) and the processing; four polls a second cost a VM about 0.5 KB/s.
+POLL_S: Final = 0.25
+# Two polls with a round trip each may get lost before another VM is asked.
+LOST_S: Final = 0.7
+# Other control VMs asked at once while the leader is unknown.
+_ASKED_AT_ONCE: Final = 2
+# A target that a new leader doesn't know may not have reported to it yet.
+_UNCONFIRMED_S: Final = 20.0
+
+
+class Attachment:
+    """Polls the leader, and tells the other parts what changed.
+
+    Parameters
+    ----------
+    settings
+        Seeds: VMs at which control replicas may be found.
+    rng
+        Spreads the polls of the VMs.
+
+    """
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        """Start without a leader."""
+        self.leader: VmId | None = None
+        self.content_version = 0
+        self.rows: dict[TargetId, TargetRow] = {}
+        self._vm = settings.vm_id
+        self._region = settings.vm.region
+        self._rng = rng
+        self._seeds = settings.control.seeds
+        self._members: tuple[str, ...] = ()
+        self._term = 0
+        self._table = ''
+        self._position = 0
+        self._replied_at = float('-inf')
+        self._polled_at: dict[str, float] = {}
+        self._unconfirmed: dict[TargetId, float] = {}
+
+    @property
+    def known_rows(self) -> Mapping[TargetId, TargetRow]:
+        """Rows of the targets that this VM knows."""
+        return self.rows
+
+    def handle(self, event: Event | Notice) -> list[Output]:
+        """Apply one event; see ``Part``."""
+        match event:
+            case Started():
+                first = event.at + self._rng.random() * POLL_S
+                return [SetTimer(PART, _TIMER, first)]
+            case TimerFired():
+                return self._tick(event.at)
+            case MessageReceived(sender=sender, message=PollReply() as reply):
+                return self._take_reply(sender, reply, event.at)
+            case MessageReceived(message=LeaderHint() as hint):
+                return self._take_hint(hint, event.at)
+        return []
+
+    def _tick(self, at: float) -> list[Output]:
+        outputs: list[Output] = [SetTimer(PART, _TIMER, at + POLL_S)]
+        outputs.extend(self._expire(at))
+        if at - self._replied_at > LOST_S:
+            outputs.extend(self._lose_leader(at))
+            for vm in self._choose_others():
+                outputs.append(self._poll(vm, at))
+        elif self.leader is not None:
+            outputs.append(self._poll(self.leader, at))
+        return outputs
+
+    def _lose_leader(self, at: float) -> list[Output]:
+        if self.leader is None:
+            return []
+        lost = self.leader
+        self.leader = None
+        return [
+            LeadershipChanged(at, GROUP, None),
+            IncrementCounter('attachment.leader_lost'),
+            WriteLog(
+                logging.WARNING,
+                'control leader lost',
+                {
+                    'leader': lost,
+                    'last_reply_age_s': round(at - self._replied_at, 3),
+                },
+            ),
+        ]
+
+    def _choose_others(self) -> list[VmId]:
+        known = sorted({*self._seeds, *self._members})
+        count = min(_ASKED_AT_ONCE, len(known))
+        return [VmId(vm) for vm in self._rng.sample(known, count)]
+
+    def _poll(self, vm: VmId, at: float) -> Effect:
+        self._polled_at[vm] = at
+        poll = Poll(at, self.content_version, self._table, self._position)
+        return SendMessage(vm, poll)
+
+    def _take_hint(self, hint: LeaderHint, at: float) -> list[Output]:
+        self._members = hint.members or self._members
+        lost = at - self._replied_at > LOST_S
+        recently = at - self._polled_at.get(hint.leader, 0) < POLL_S
+        if not (hint.leader and lost) or recently:
+            return []
+        return [self._poll(VmId(hint.leader), at)]
+
+    def _take_reply(
+        self, sender: VmId, reply: PollReply, at: float
+    ) -> list[Output]:
+        if reply.term < self._term:
+            return []
+        self._term = reply.term
+        self._members = reply.members
+        self._replied_at = max(self._replied_at, reply.sent_at)
+        proven_at = reply.sent_at - reply.age_s
+        outputs: list[Output] = [
+            *self._take_configuration(reply, at),
+            *self._take_rows(reply, at),
+            RoundTripCompleted(at, sender, self._region, proven_at),
+        ]
+        if self.leader != sender:
+            self.leader = sender
+            outputs.append(LeadershipChanged(at, GROUP, sender))
+            outputs.append(
+                WriteLog(
+                    logging.INFO,
+                    'attached to control leader',
+                    {'leader': sender, 'term': reply.term},
+                )
+            )
+        return outputs
+
+    def _take_configuration(self, reply: PollReply, at: float) -> list[Output]:
+        stored = reply.configuration
+        if stored is None or stored.content_version <= self.content_version:
+            return []
+        self.content_version = stored.content_version
+        configuration = restore_configuration(stored)
+        document = configuration.document
+        return [
+            ConfigurationChanged(at, configuration),
+            WriteLog(
+                logging.INFO,
+                'configuration in force',
+                {
+                    'version': stored.version,
+                    'document': document.version if document else 0,
+                },
+            ),
+        ]
+
+    def _take_rows(self, reply: PollReply, at: float) -> list[Output]:
+        if reply.table != self._table and not reply.whole:
+            return []
+        if reply.table == self._table and reply.position < self._position:
+            return []
+        self._table = reply.table
+        self._position = reply.position
+        if reply.whole:
+            known = {row.announcement.target for row in reply.rows}
+            for target in self.rows:
+                if target not in known:
+                    self._unconfirmed.setdefault(target, at)
+        outputs: list[Output] = []
+        for row in reply.rows:
+            outputs.extend(self._take_row(row, at))
+        return outputs
+
+    def _take_row(self, row: TargetRow, at: float) -> list[Output]:
+        target = row.announcement.target
+        self._unconfirmed.pop(target, None)
+        before = self.rows.get(target)
+        if before == row:
+            return []
+        if row.silent:
+            self.rows.pop(target, None)
+            if before is None:
+                return []
+        else:
+            self.rows[target] = row
+        changed = TargetChanged(at, row.announcement, row.silent)
+        return [changed, _log_target(row)]
+
+    def _expire(self, at: float) -> list[Output]:
+        outputs: list[Output] = []
+        for target, since in tuple(self._unconfirmed.items()):
+            if at - since < _UNCONFIRMED_S:
+                continue
+            self._unconfirmed.pop(target)
+            row = self.rows.get(target)
+            if row is not None:
+                gone = TargetRow(row.announcement, silent=True)
+                outputs.extend(self._take_row(gone, at))
+        return outputs
+
+
+def _log_target(row: TargetRow) -> WriteLog:
+    announcement = row.announcement
+    fields = {
+        'target': announcement.target,
+        'service': announcement.service,
+        'address': f'{announcement.host}:{announcement.port}',
+        'state': announcement.state.value,
+        'sequence': announcement.sequence,
+        'silent': row.silent,
+    }
+    return WriteLog(logging.INFO, 'target changed', fields)
+
+
+__all__ = ('GROUP', 'LOST_S', 'PART', 'POLL_S', 'Attachment')
--- /dev/null
+++ b/src/cranberryseam/attachment/hub.py
@@ -0,0 +1,377 @@
+"""The control leader's side: the table of targets, and replies to polls."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Final, Protocol
+
+import attrs
+
+from ..configuration.entries import TargetDeparted
+from ..control.machine import store_configuration
+from ..control.replica import Authority
+from ..core.commands import OutcomeUnknown
+from ..core.effects import (
+    AnswerAnnouncement,
+    IncrementCounter,
+    SendMessage,
+    SetTimer,
+)
+from ..core.events import (
+    Announcement,
+    Event,
+    MessageReceived,
+    Started,
+    TargetAnnounced,
+    TargetState,
+    TimerFired,
+)
+from ..core.notices import (
+    DepartureReported,
+    EntryCommitted,
+    MemberChanged,
+    MemberStatus,
+    Notice,
+    SnapshotInstalled,
+)
+from ..types import Output, TargetId, VmId
+from .messages import (
+    AnnouncementTaken,
+    LeaderHint,
+    PassedAnnouncement,
+    Poll,
+    PollReply,
+    TargetRow,
+)
+from .owners import UNPROVEN_S
+
+PART: Final = 'hub'
+_TIMER: Final = 'sweep'
+_SWEEP_S: Final = 0.5
+# A target may be cut off from the control VMs while entry VMs still reach it,
+# so it is given up late; entry VMs notice by themselves that it is down.
+SILENT_S: Final = 20.0
+# A departed target stays in the table for VMs that were cut off meanwhile.
+_DEPARTED_S: Final = 60.0
+# A VM that has not polled for this long asks another control VM.
+_VM_LOST_S: Final = 3.0
+
+_Departure = tuple[str, int]
+
+
+class ControlReplica(Protocol):
+    """The control replica of this VM."""
+
+    @property
+    def leader_vm(self) -> VmId | None:
+        """VM of the leader that it follows."""
+
+    def find_authority(self) -> Authority | None:
+        """Return what it may say as the leader."""
+
+    def list_members(self) -> tuple[VmId, ...]:
+        """Return the VMs of all replicas."""
+
+
+class KnownTargets(Protocol):
+    """The copy of the table that this VM has as a follower."""
+
+    @property
+    def known_rows(self) -> Mapping[TargetId, TargetRow]:
+        """Rows by target."""
+
+
+@attrs.define(eq=False)
+class _Entry:
+    """A target in the leader's table.
+
+    Parameters
+    ----------
+    position
+        Position of the last change of its row in the table.
+
+    """
+
+    row: TargetRow
+    heard_at: float
+    position: int
+
+
+@attrs.frozen
+class _Waiter:
+    """A control VM that waits until a departure is in the log."""
+
+    vm: VmId
+    reply_id: int
+
+
+class Hub:
+    """Owns the table of targets while this VM leads the control log.
+
+    Parameters
+    ----------
+    replica
+        The control replica of this VM.
+    copy
+        What this VM knew of the targets as a follower.
+
+    """
+
+    def __init__(
+        self, vm: VmId, replica: ControlReplica, copy: KnownTargets
+    ) -> None:
+        """Start without a table."""
+        self._vm = vm
+        self._replica = replica
+        self._copy = copy
+        self._term = 0
+        self._position = 0
+        self._entries: dict[TargetId, _Entry] = {}
+        self._departed: set[_Departure] = set()
+        self._waiting: dict[_Departure, list[_Waiter]] = {}
+        self._polled_at: dict[VmId, float] = {}
+
+    def handle(self, event: Event | Notice) -> Sequence[Output]:
+        """Apply one event or notice; see ``Part``."""
+        match event:
+            case Started():
+                return [SetTimer(PART, _TIMER, event.at + _SWEEP_S)]
+            case TimerFired():
+                return self._sweep(event.at)
+            case TargetAnnounced():
+                return self._pass_on(event)
+            case EntryCommitted(entry=TargetDeparted() as departed):
+                departure = (departed.target, departed.born_ms)
+                return self._finish_departure(departure, event.at)
+            case SnapshotInstalled(configuration=configuration):
+                self._departed.update(configuration.departed)
+            case MessageReceived(sender=sender, message=message):
+                return self._receive(sender, message, event.at)
+        return []
+
+    def _receive(
+        self, sender: VmId, message: object, at: float
+    ) -> list[Output]:
+        match message:
+            case Poll() as poll:
+                reply = SendMessage(sender, self._answer_poll(poll, at))
+                return [*self._note_vm(sender, at), reply]
+            case PassedAnnouncement(reply_id=reply_id, announcement=came):
+                return self._take(sender, reply_id, came, at)
+            case AnnouncementTaken(reply_id=reply_id):
+                return [AnswerAnnouncement(reply_id, None)]
+        return []
+
+    def _note_vm(self, vm: VmId, at: float) -> list[Output]:
+        known = vm in self._polled_at
+        self._polled_at[vm] = at
+        if known:
+            return []
+        return [MemberChanged(at, vm, '', MemberStatus.alive)]
+
+    def _forget_vms(self, at: float) -> list[Output]:
+        outputs: list[Output] = []
+        for vm, polled_at in tuple(self._polled_at.items()):
+            if at - polled_at > _VM_LOST_S:
+                self._polled_at.pop(vm)
+                outputs.append(MemberChanged(at, vm, '', MemberStatus.dead))
+        return outputs
+
+    def _find_authority(self, at: float) -> Authority | None:
+        """Return the authority of this VM, after taking over the table."""
+        authority = self._replica.find_authority()
+        if authority is None or at - authority.confirmed_at > UNPROVEN_S:
+            return None
+        if authority.term != self._term:
+            self._take_over(authority, at)
+        return authority
+
+    def _take_over(self, authority: Authority, at: float) -> None:
+        self._term = authority.term
+        self._position = 1
+        self._waiting.clear()
+        self._departed.update(authority.configuration.departed)
+        self._entries = {
+            target: _Entry(row, at, self._position)
+            for target, row in self._copy.known_rows.items()
+        }
+        for target, entry in self._entries.items():
+            born_ms = entry.row.announcement.born_ms
+            if (target, born_ms) in self._departed:
+                self._mark_draining(entry)
+
+    def _answer_poll(self, poll: Poll, at: float) -> PollReply | LeaderHint:
+        authority = self._find_authority(at)
+        if authority is None:
+            leader = self._replica.leader_vm
+            hint = '' if leader in {None, self._vm} else str(leader)
+            return LeaderHint(hint, self._replica.list_members())
+        configuration = authority.configuration
+        stored = None
+        if configuration.content_version > poll.content_version:
+            stored = store_configuration(
+                attrs.evolve(
+                    configuration,
+                    departed=(),
+                    document=configuration.document
+                    and attrs.evolve(configuration.document, raw=b''),
+                )
+            )
+        table = f'{self._vm}/{self._term}'
+        whole = poll.table != table
+        after = 0 if whole else poll.position
+        rows: tuple[TargetRow, ...] = ()
+        if after < self._position:
+            rows = tuple(
+                entry.row
+                for entry in self._entries.values()
+                if entry.position > after
+            )
+        return PollReply(
+            sent_at=poll.sent_at,
+            age_s=max(0, at - authority.confirmed_at),
+            term=self._term,
+            members=self._replica.list_members(),
+            table=table,
+            position=self._position,
+            rows=rows,
+            whole=whole,
+            configuration=stored,
+        )
+
+    def _pass_on(self, event: TargetAnnounced) -> list[Output]:
+        leader = self._replica.leader_vm
+        if leader is None:
+            return [AnswerAnnouncement(event.reply_id, OutcomeUnknown())]
+        passed = PassedAnnouncement(event.reply_id, event.announcement)
+        return [SendMessage(leader, passed)]
+
+    def _take(
+        self, sender: VmId, reply_id: int, came: Announcement, at: float
+    ) -> list[Output]:
+        """Act on an announcement; without authority nobody answers it."""
+        if self._find_authority(at) is None:
+            return [IncrementCounter('hub.announcement_without_authority')]
+        known = self._entries.get(came.target)
+        if came.state is TargetState.draining:
+            return self._start_departure(sender, reply_id, came, at)
+        taken = SendMessage(sender, AnnouncementTaken(reply_id))
+        departure = (str(came.target), came.born_ms)
+        if departure in self._departed or not _is_newer(came, known):
+            return [taken, IncrementCounter('hub.announcement_outdated')]
+        if not self._claim_address(came):
+            return [taken, IncrementCounter('hub.address_taken')]
+        self._update(came, at)
+        return [taken]
+
+    def _update(self, came: Announcement, at: float) -> None:
+        known = self._entries.get(came.target)
+        if known is None:
+            self._entries[came.target] = _Entry(
+                TargetRow(came), at, self._advance()
+            )
+            return
+        known.heard_at = at
+        before = known.row
+        same = (
+            attrs.evolve(came, sequence=before.announcement.sequence)
+            == before.announcement
+        )
+        if before.silent or not same:
+            known.position = self._advance()
+        known.row = TargetRow(came)
+
+    def _claim_address(self, came: Announcement) -> bool:
+        """Give an address to the target that started last at it.
+
+        A late announcement of a target that crashed must not take the
+        address back from its successor.
+        """
+        for target, entry in self._entries.items():
+            other = entry.row.announcement
+            if entry.row.silent or target == came.target:
+                continue
+            if (other.host, other.port) != (came.host, came.port):
+                continue
+            if other.born_ms > came.born_ms:
+                return False
+            self._mark_silent(entry)
+        return True
+
+    def _start_departure(
+        self, sender: VmId, reply_id: int, came: Announcement, at: float
+    ) -> list[Output]:
+        known = self._entries.get(came.target)
+        born_ms = came.born_ms
+        if not born_ms and known is not None:
+            born_ms = known.row.announcement.born_ms
+        if known is not None and born_ms == known.row.announcement.born_ms:
+            known.heard_at = at
+        departure = (str(came.target), born_ms)
+        if departure in self._departed:
+            return [SendMessage(sender, AnnouncementTaken(reply_id))]
+        waiters = self._waiting.setdefault(departure, [])
+        waiters.append(_Waiter(sender, reply_id))
+        if len(waiters) > 1:
+            return []
+        return [DepartureReported(at, came.target, born_ms)]
+
+    def _finish_departure(
+        self, departure: _Departure, at: float
+    ) -> list[Output]:
+        self._departed.add(departure)
+        entry = self._entries.get(TargetId(departure[0]))
+        if entry and entry.row.announcement.born_ms == departure[1]:
+            self._mark_draining(entry)
+            entry.heard_at = at
+        return [
+            SendMessage(waiter.vm, AnnouncementTaken(waiter.reply_id))
+            for waiter in self._waiting.pop(departure, ())
+        ]
+
+    def _sweep(self, at: float) -> list[Output]:
+        outputs = self._forget_vms(at)
+        outputs.append(SetTimer(PART, _TIMER, at + _SWEEP_S))
+        if self._find_authority(at) is None:
+            return outputs
+        for target, entry in tuple(self._entries.items()):
+            unheard_s = at - entry.heard_at
+            state = entry.row.announcement.state
+            kept_s = _DEPARTED_S if _is_leaving(state) else SILENT_S
+            if unheard_s > kept_s and not entry.row.silent:
+                self._mark_silent(entry)
+            elif unheard_s > kept_s + _DEPARTED_S:
+                self._entries.pop(target)
+        return outputs
+
+    def _mark_draining(self, entry: _Entry) -> None:
+        leaving = attrs.evolve(
+            entry.row.announcement, state=TargetState.draining
+        )
+        entry.row = TargetRow(leaving, entry.row.silent)
+        entry.position = self._advance()
+
+    def _mark_silent(self, entry: _Entry) -> None:
+        entry.row = TargetRow(entry.row.announcement, silent=True)
+        entry.position = self._advance()
+
+    def _advance(self) -> int:
+        self._position += 1
+        return self._position
+
+
+def _is_leaving(state: TargetState) -> bool:
+    return state is TargetState.draining
+
+
+def _is_newer(came: Announcement, known: _Entry | None) -> bool:
+    """Return whether an announcement follows the one that is known."""
+    if known is None:
+        return True
+    before = known.row.announcement
+    if came.born_ms != before.born_ms:
+        return came.born_ms > before.born_ms
+    return came.sequence > before.sequence
+
+
+__all__ = ('PART', 'SILENT_S', 'Hub')
--- /dev/null
+++ b/src/cranberryseam/attachment/messages.py
@@ -0,0 +1,119 @@
+"""Messages between VMs and the control leader they are attached to."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..control.records import StoredConfiguration
+from ..core.events import Announcement
+from ..core.messages import Message
+
+_POLL_TAG = 700
+_POLL_REPLY_TAG = 701
+_LEADER_HINT_TAG = 702
+_ANNOUNCEMENT_TAG = 703
+_ANNOUNCEMENT_TAKEN_TAG = 704
+
+
+class TargetRow(msgspec.Struct, frozen=True, array_like=True):
+    """A target in the leader's table.
+
+    Parameters
+    ----------
+    silent
+        True once it is gone, or was not heard for long.
+
+    """
+
+    announcement: Announcement
+    silent: bool = False
+
+
+class Poll(Message, frozen=True, array_like=True, tag=_POLL_TAG):
+    """Ask the leader what changed.
+
+    Parameters
+    ----------
+    sent_at
+        Clock of the sender, returned in the reply.
+    content_version
+        Version of the configuration that the sender has.
+    table, position
+        Table of targets that the sender has, and how far.
+
+    """
+
+    sent_at: float
+    content_version: int
+    table: str
+    position: int
+
+
+class PollReply(Message, frozen=True, array_like=True, tag=_POLL_REPLY_TAG):
+    """What changed, from the leader.
+
+    Parameters
+    ----------
+    age_s
+        Age of the newest proof that a quorum follows the leader.
+    members
+        VMs of the control replicas.
+    configuration
+        The one in force, if the sender has an older one.
+    whole
+        True if ``rows`` are all targets, not only the changed ones.
+
+    """
+
+    sent_at: float
+    age_s: float
+    term: int
+    members: tuple[str, ...]
+    table: str
+    position: int
+    rows: tuple[TargetRow, ...] = ()
+    whole: bool = False
+    configuration: StoredConfiguration | None = None
+
+
+class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
+    """Whom to poll instead; ``leader`` is empty while none is known."""
+
+    leader: str
+    members: tuple[str, ...]
+
+
+class PassedAnnouncement(
+    Message, frozen=True, array_like=True, tag=_ANNOUNCEMENT_TAG
+):
+    """A target's announcement, from the control VM that received it."""
+
+    reply_id: int
+    announcement: Announcement
+
+
+class AnnouncementTaken(
+    Message, frozen=True, array_like=True, tag=_ANNOUNCEMENT_TAKEN_TAG
+):
+    """The leader acts on an announcement."""
+
+    reply_id: int
+
+
+MESSAGES: tuple[type[Message], ...] = (
+    Poll,
+    PollReply,
+    LeaderHint,
+    PassedAnnouncement,
+    AnnouncementTaken,
+)
+
+__all__ = (
+    'MESSAGES',
+    'AnnouncementTaken',
+    'LeaderHint',
+    'PassedAnnouncement',
+    'Poll',
+    'PollReply',
+    'TargetRow',
+)
--- a/src/cranberryseam/configuration/entries.py
+++ b/src/cranberryseam/configuration/entries.py
@@ -8,7 +8,20 @@
 import msgspec
 
 from ..types import AccountId, KeyId
-from .model import Account, Configuration, Key, Lists, Plan, Route, Service
+from .model import (
+    Account,
+    Configuration,
+    Document,
+    Key,
+    Lists,
+    Plan,
+    Route,
+    Service,
+)
+
+# A departed target is told apart from a new one for as long as late
+# announcements of it may arrive; at 2,500 restarts a day this is hours.
+MOST_DEPARTED = 512
 
 _Row = TypeVar('_Row', Account, Plan, Route, Service)
 
@@ -57,8 +70,29 @@
     """First entry of a leader's term, and membership records."""
 
 
+class DocumentStored(Entry, frozen=True, array_like=True, tag=6):
+    """A document in place of the two lists and all keys."""
+
+    document: Document
+    lists: Lists
+    keys: tuple[Key, ...] = ()
+
+
+class TargetDeparted(Entry, frozen=True, array_like=True, tag=7):
+    """A target said that it leaves; ``born_ms`` is the time of its start."""
+
+    target: str
+    born_ms: int
+
+
 AnyEntry = (
-    FleetInitialised | ListsChanged | KeyGranted | KeyWithdrawn | NothingChanged
+    FleetInitialised
+    | ListsChanged
+    | KeyGranted
+    | KeyWithdrawn
+    | NothingChanged
+    | DocumentStored
+    | TargetDeparted
 )
 
 
@@ -81,10 +115,17 @@
         case KeyGranted():
             key = Key(entry.key_id, entry.account, entry.key_hash)
             keys = {**before.keys, key.key_id: key}
-            return _evolve(before, version, keys=keys)
+            return _evolve(before, version, keys=keys, content_version=version)
         case KeyWithdrawn(key_id=key_id):
             withdrawn = before.withdrawn | {key_id}
-            return _evolve(before, version, withdrawn=withdrawn)
+            return _evolve(
+                before, version, withdrawn=withdrawn, content_version=version
+            )
+        case DocumentStored():
+            return _apply_document(before, version, entry)
+        case TargetDeparted():
+            departed = (*before.departed, (entry.target, entry.born_ms))
+            return _evolve(before, version, departed=departed[-MOST_DEPARTED:])
     return _evolve(before, version)
 
 
@@ -129,6 +170,7 @@
         before,
         version,
         lists_version=version,
+        content_version=version,
         accounts=_merge_rows(
             before.accounts, entry.accounts, entry.removed_accounts
         ),
@@ -140,6 +182,24 @@
     )
 
 
+def _apply_document(
+    before: Configuration, version: int, entry: DocumentStored
+) -> Configuration:
+    lists = entry.lists
+    return _evolve(
+        before,
+        version,
+        lists_version=version,
+        content_version=version,
+        document=entry.document,
+        accounts={str(row.name): row for row in lists.accounts},
+        plans={row.name: row for row in lists.plans},
+        routes={row.name: row for row in lists.routes},
+        services={str(row.name): row for row in lists.services},
+        keys={key.key_id: key for key in entry.keys},
+    )
+
+
 def _merge_rows(
     before: object, rows: tuple[_Row, ...], removed: tuple[str, ...]
 ) -> dict[str, _Row]:
@@ -163,12 +223,14 @@
 
 __all__ = (
     'AnyEntry',
+    'DocumentStored',
     'Entry',
     'FleetInitialised',
     'KeyGranted',
     'KeyWithdrawn',
     'ListsChanged',
     'NothingChanged',
+    'TargetDeparted',
     'apply_entry',
     'diff_lists',
     'list_rows',
--- a/src/cranberryseam/configuration/settings.py
+++ b/src/cranberryseam/configuration/settings.py
@@ -19,12 +19,26 @@
 
 @attrs.frozen
 class Addresses:
-    """Addresses (``ip:port``) that this process listens on."""
+    """Addresses (``ip:port``) that this process listens on.
+
+    Parameters
+    ----------
+    ready
+        Where the balancer asks for readiness, if not where callers do.
+    outside
+        Interface of a platform adapter, for its targets and operators.
+    metrics
+        Counters as text.
+
+    """
 
     peers: str
     callers: str = ''
     targets: str = ''
     admin: str = ''
+    ready: str = ''
+    outside: str = ''
+    metrics: str = ''
 
 
 @attrs.frozen
@@ -49,10 +63,27 @@
 
 @attrs.frozen
 class ControlSettings:
-    """The control replicas and the data folder of this one."""
+    """The control replicas and the data folder of this one.
+
+    Parameters
+    ----------
+    seeds
+        Peer addresses at which control replicas may be found; with them,
+        VMs are found through the control replicas instead of gossip.
+    forms
+        True lets the seeds form the log without an operator; only for the
+        first start of the fleet.
+    most_lost
+        Disks that may be lost at once; the log grows to twice as many
+        replicas and one more.
+
+    """
 
     replicas: tuple[str, ...] = ()
     data_folder: str = ''
+    seeds: tuple[str, ...] = ()
+    forms: bool = False
+    most_lost: int = 0
 
 
 @attrs.frozen
@@ -115,6 +146,11 @@
         Names of all regions of the fleet.
     seed
         Seed of the reducer's random numbers; 0 lets the daemon draw one.
+    log_name
+        Name of this VM in logs, if it isn't ``vm.name``.
+    places
+        Data centres with their region, where the whole fleet shares its
+        owners and ``vm.region`` doesn't tell how far a target is.
 
     """
 
@@ -130,6 +166,8 @@
     admin: AdminSettings = AdminSettings()
     seed: int = 0
     log_level: str = 'INFO'
+    places: tuple[tuple[str, str], ...] = ()
+    log_name: str = ''
 
     @property
     def vm_id(self) -> VmId:
--- a/src/cranberryseam/control/__init__.py
+++ b/src/cranberryseam/control/__init__.py
@@ -1,16 +1,19 @@
 """The replicated configuration log on the control VMs."""
 
+from .effects import StorageEffect
 from .messages import MESSAGES
 from .records import StoredState
-from .replica import Replica
+from .replica import Authority, Replica
 from .storage import FolderInUse, Storage, StorageDamaged, open_storage
 
 __all__ = (
     'MESSAGES',
+    'Authority',
     'FolderInUse',
     'Replica',
     'Storage',
     'StorageDamaged',
+    'StorageEffect',
     'StoredState',
     'open_storage',
 )
--- a/src/cranberryseam/control/bootstrap.py
+++ b/src/cranberryseam/control/bootstrap.py
@@ -76,6 +76,13 @@
         else:
             self._answer(command_id, CommandUnsupported(PART))
 
+    def form(self, wall_s: float) -> None:
+        """Start a formation without a command, unless one runs."""
+        if self._context.term == 0 and self._formation is None:
+            until = self._context.at + QUERY_S
+            self._formation = _Formation(wall_s, until, [])
+            self.handle_timer()
+
     def handle_timer(self) -> None:
         """Repeat what has no answer yet."""
         formation = self._formation
--- a/src/cranberryseam/control/leader.py
+++ b/src/cranberryseam/control/leader.py
@@ -8,6 +8,7 @@
 
 from ..configuration.entries import (
     AnyEntry,
+    DocumentStored,
     FleetInitialised,
     KeyWithdrawn,
     NothingChanged,
@@ -18,6 +19,7 @@
     NotLeader,
     OutcomeUnknown,
 )
+from ..core.documents import DocumentConflict, DocumentMissing, PutDocument
 from ..core.effects import AnswerCommand
 from ..core.errors import Failure
 from ..types import KeyId, VmId
@@ -137,6 +139,53 @@
         self.propose(proposal.entry, outcome)
         self.wait(command_id, index, proposal.outcome.answer(index))
 
+    def receive_document(self, command_id: int, command: PutDocument) -> None:
+        """Log a document that is newer than all before it."""
+        held = self.tail.configuration.document
+        sent = command.document
+        last = self._context.log.last_index
+        if held is None or sent.version > held.version:
+            entry = DocumentStored(sent, command.lists, command.keys)
+            last = self.propose(entry)
+        elif sent.version == held.version and sent.raw != held.raw:
+            # Told once that content is stored, so that the refusal holds.
+            self.wait(command_id, last, DocumentConflict(sent.version))
+            return
+        # An older one, or a copy, changes nothing; its acknowledgement waits
+        # until what is in force instead of it can't be lost.
+        self.wait(command_id, last, CommandAnswer(held.version if held else 0))
+
+    def read_document(self, command_id: int) -> None:
+        """Answer with the document once a quorum has confirmed the log.
+
+        The record of the read commits only while no other replica leads, so
+        the answer is never older than what was acknowledged before it.
+        """
+        index = self.propose(NothingChanged())
+        document = self.tail.configuration.document
+        answer: CommandAnswer | Failure = DocumentMissing()
+        if document is not None:
+            answer = CommandAnswer(document.version, document)
+        self.wait(command_id, index, answer)
+
+    def confirmed_at(self) -> float:
+        """Return the newest time at which a quorum followed this leader.
+
+        Times are those at which requests that a quorum answered were sent,
+        so a pause of this VM can't make them newer than they are.
+        """
+        context = self._context
+        voters = context.log.membership.voters
+        times = sorted(
+            context.at
+            if disk == context.disk
+            else self.progress[disk].answered_at
+            for disk in voters
+            if disk == context.disk or disk in self.progress
+        )
+        quorum = len(voters) // 2 + 1
+        return times[-quorum] if len(times) >= quorum else float('-inf')
+
     def answer_known(self, command_id: int, command: KeyedCommand) -> bool:
         """Answer a command whose key was used before, or that can't run."""
         target = self.transfer_target
--- a/src/cranberryseam/control/machine.py
+++ b/src/cranberryseam/control/machine.py
@@ -69,7 +69,7 @@
             index=self.index,
             term=self.term,
             membership=membership,
-            configuration=_store_configuration(self.configuration),
+            configuration=store_configuration(self.configuration),
             results=tuple(self.results.values()),
         )
 
@@ -79,13 +79,14 @@
     if snapshot is None:
         return StateMachine(Configuration(), {})
     return StateMachine(
-        _restore_configuration(snapshot.configuration),
+        restore_configuration(snapshot.configuration),
         {result.command_key: result for result in snapshot.results},
         snapshot.term,
     )
 
 
-def _store_configuration(configuration: Configuration) -> StoredConfiguration:
+def store_configuration(configuration: Configuration) -> StoredConfiguration:
+    """Return a configuration as rows, for a disk or another VM."""
     return StoredConfiguration(
         version=configuration.version,
         lists_version=configuration.lists_version,
@@ -96,10 +97,14 @@
         services=tuple(configuration.services.values()),
         keys=tuple(configuration.keys.values()),
         withdrawn=tuple(sorted(configuration.withdrawn)),
+        content_version=configuration.content_version,
+        document=configuration.document,
+        departed=configuration.departed,
     )
 
 
-def _restore_configuration(stored: StoredConfiguration) -> Configuration:
+def restore_configuration(stored: StoredConfiguration) -> Configuration:
+    """Return the configuration that was stored as rows."""
     return Configuration(
         version=stored.version,
         lists_version=stored.lists_version,
@@ -110,7 +115,15 @@
         services={str(row.name): row for row in stored.services},
         keys={key.key_id: key for key in stored.keys},
         withdrawn=frozenset(stored.withdrawn),
+        content_version=stored.content_version,
+        document=stored.document,
+        departed=stored.departed,
     )
 
 
-__all__ = ('StateMachine', 'restore_machine')
+__all__ = (
+    'StateMachine',
+    'restore_configuration',
+    'restore_machine',
+    'store_configuration',
+)
--- a/src/cranberryseam/control/messages.py
+++ b/src/cranberryseam/control/messages.py
@@ -24,6 +24,22 @@
 _FORM_GROUP_TAG = 111
 _FORM_REPLY_TAG = 112
 _BEGIN_ELECTIONS_TAG = 113
+_JOIN_ASKED_TAG = 114
+
+
+class JoinAsked(Message, frozen=True, array_like=True, tag=_JOIN_ASKED_TAG):
+    """A control VM asks to become a member with its disk.
+
+    Parameters
+    ----------
+    vm
+        The VM that asks; another one may pass the message on.
+
+    """
+
+    vm: str
+    disk: str
+    passed_on: bool = False
 
 
 class PeerMessage(Message, frozen=True, array_like=True):
@@ -223,6 +239,7 @@
     FormGroup,
     FormReply,
     BeginElections,
+    JoinAsked,
 )
 
 __all__ = (
@@ -235,6 +252,7 @@
     'FormGroup',
     'FormReply',
     'InstallSnapshot',
+    'JoinAsked',
     'PeerMessage',
     'PreVoteReply',
     'RequestPreVote',
--- a/src/cranberryseam/control/records.py
+++ b/src/cranberryseam/control/records.py
@@ -5,7 +5,14 @@
 import msgspec
 
 from ..configuration.entries import AnyEntry
-from ..configuration.model import Account, Key, Plan, Route, Service
+from ..configuration.model import (
+    Account,
+    Document,
+    Key,
+    Plan,
+    Route,
+    Service,
+)
 from ..core.commands import (
     CommandAnswer,
     KeyExists,
@@ -157,6 +164,9 @@
     services: tuple[Service, ...] = ()
     keys: tuple[Key, ...] = ()
     withdrawn: tuple[KeyId, ...] = ()
+    content_version: int = 0
+    document: Document | None = None
+    departed: tuple[tuple[str, int], ...] = ()
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
--- a/src/cranberryseam/control/replica.py
+++ b/src/cranberryseam/control/replica.py
@@ -4,6 +4,10 @@
 
 import random
 
+import attrs
+
+from ..configuration.entries import TargetDeparted
+from ..configuration.model import Configuration
 from ..configuration.settings import Settings
 from ..core.commands import (
     ApplyLists,
@@ -17,6 +21,7 @@
     ShowControl,
     WithdrawKey,
 )
+from ..core.documents import PutDocument, ReadDocument
 from ..core.effects import AnswerCommand
 from ..core.errors import Failure
 from ..core.events import (
@@ -29,14 +34,43 @@
     TimerFired,
 )
 from ..core.messages import Message
-from ..core.notices import KeysWithdrawn, Notice
+from ..core.notices import DepartureReported, KeysWithdrawn, Notice
 from ..types import KeyId, Output, VmId
-from . import bootstrap, elections, leader, messages, replacement
+from . import (
+    admissions,
+    bootstrap,
+    elections,
+    leader,
+    messages,
+    replacement,
+)
 from .context import PART, Context, Role
 from .follower import Follower
 from .records import StoredState
 from .status import describe_replica
 
+# The first seed tries to form the log this often on the first start.
+_FORM_TIMER = 'form'
+_FORM_S = 0.5
+
+
+@attrs.frozen
+class Authority:
+    """What a leader may say of the log.
+
+    Parameters
+    ----------
+    confirmed_at
+        Newest time at which a quorum followed this leader.
+    configuration
+        Result of all records that any replica acknowledged up to then.
+
+    """
+
+    term: int
+    confirmed_at: float
+    configuration: Configuration
+
 
 class Replica:
     """One replica of the configuration log.
@@ -64,17 +98,45 @@
             self._context, settings.control.replicas
         )
         self._replacements = replacement.Replacements(self._context)
+        self._settings = settings.control
+        self._admissions = admissions.Admissions(
+            self._context, settings.control
+        )
         self._leader: leader.Leader | None = None
+        self._wall_s: float = 0
         # Withdrawals from gossip that aren't known to be committed.
         self._withdrawn: set[KeyId] = set()
 
+    @property
+    def leader_vm(self) -> VmId | None:
+        """VM of the leader that this replica follows, or its own."""
+        known = self._context.leader
+        if self._leader is not None:
+            return VmId(self._context.vm)
+        return None if known is None else VmId(known.vm)
+
+    def find_authority(self) -> Authority | None:
+        """Return what this replica may say as the leader, None otherwise."""
+        if self._leader is None or not self._leader.is_established:
+            return None
+        return Authority(
+            self._leader.term,
+            self._leader.confirmed_at(),
+            self._context.machine.configuration,
+        )
+
+    def list_members(self) -> tuple[VmId, ...]:
+        """Return the VMs of the members, learners included."""
+        members = self._context.log.membership.members
+        return tuple(VmId(member.vm) for member in members)
+
     def handle(self, event: Event | Notice) -> list[Output]:
         """Apply one event or notice."""
         context = self._context
         context.at = max(context.at, event.at)
         match event:
-            case Started():
-                self._start()
+            case Started(wall_s=wall_s):
+                self._start(wall_s)
             case TimerFired(part=part, name=name) if part == PART:
                 self._handle_timer(name)
             case MessageReceived(sender=sender, message=message):
@@ -85,6 +147,9 @@
                 self._receive_command(command_id, command)
             case KeysWithdrawn(key_ids=key_ids):
                 self._withdrawn.update(key_ids)
+            case DepartureReported(target=target, born_ms=born_ms):
+                if self._leader is not None:
+                    self._leader.propose(TargetDeparted(target, born_ms))
             case StopRequested():
                 self._stop()
         self._settle()
@@ -92,9 +157,23 @@
         context.outputs = []
         return outputs
 
-    def _start(self) -> None:
+    def _start(self, wall_s: float) -> None:
+        self._wall_s = wall_s
         self._context.restore(self._stored_commit)
         self._elections.start()
+        if self._settings.seeds:
+            self._admissions.handle_timer()
+        if self._settings.forms and self._is_first_seed():
+            self._form()
+
+    def _is_first_seed(self) -> bool:
+        return self._context.vm == min(self._settings.replicas)
+
+    def _form(self) -> None:
+        context = self._context
+        if context.term == 0:
+            self._bootstrap.form(self._wall_s)
+            context.set_timer(_FORM_TIMER, context.at + _FORM_S)
 
     def _stop(self) -> None:
         self._context.stopping = True
@@ -112,6 +191,10 @@
                 self._replacements.handle_timer()
             case bootstrap.TIMER:
                 self._bootstrap.handle_timer()
+            case admissions.TIMER:
+                self._admissions.handle_timer()
+            case _ if name == _FORM_TIMER:
+                self._form()
 
     def _receive(self, sender: VmId, message: Message) -> None:
         if not isinstance(message, messages.PeerMessage):
@@ -125,6 +208,9 @@
 
     def _receive_formation(self, sender: VmId, message: Message) -> None:
         match message:
+            case messages.JoinAsked():
+                leads = self._leader is not None
+                self._admissions.receive(message, leads=leads)
             case messages.DiskQuery():
                 self._context.send(sender, self._bootstrap.make_report())
             case messages.DiskReport():
@@ -185,6 +271,16 @@
                     self._answer(command_id, self._refuse())
                 else:
                     self._leader.receive_command(command_id, command)
+            case PutDocument():
+                if self._leader is None:
+                    self._answer(command_id, self._refuse())
+                else:
+                    self._leader.receive_document(command_id, command)
+            case ReadDocument():
+                if self._leader is None:
+                    self._answer(command_id, self._refuse())
+                else:
+                    self._leader.read_document(command_id)
             case ReplaceReplica():
                 if self._leader is None:
                     self._answer(command_id, self._refuse())
@@ -209,6 +305,7 @@
         if self._leader is not None and not self._leader.is_active:
             self._leader.close()
             self._replacements.close()
+            self._admissions.close()
             self._leader = None
         if self._leader is None and context.role is Role.leader:
             self._leader = leader.Leader(context)
@@ -219,6 +316,8 @@
             self._leader.withdraw_keys(self._withdrawn)
             self._leader.advance()
             self._replacements.advance(self._leader)
+            if self._settings.seeds:
+                self._admissions.advance(self._leader)
             self._leader.advance()
         self._bootstrap.advance()
 
@@ -226,4 +325,4 @@
         self._context.outputs.append(AnswerCommand(command_id, answer))
 
 
-__all__ = ('Replica',)
+__all__ = ('Authority', 'Replica')
--- a/src/cranberryseam/control/replication.py
+++ b/src/cranberryseam/control/replication.py
@@ -45,13 +45,17 @@
     match_index
         The follower has all records up to here on disk.
     heard_at
-        Time at which the newest request that it answered was sent.
+        Time at which the newest request that it answered was sent; at first
+        the time at which the leader began to wait for it.
+    answered_at
+        The same, without a time before the first answer.
 
     """
 
     member: Member
     next_index: int
     heard_at: float
+    answered_at: float = float('-inf')
     match_index: int = 0
     _awaited: int = 0
     _sent_at: float = float('-inf')
@@ -92,7 +96,7 @@
 
     def note_append(self, context: Context, reply: AppendReply) -> None:
         """Advance after an accepted batch, step back after a refused one."""
-        self.heard_at = max(self.heard_at, reply.sent_at)
+        self._note_answer(reply)
         if reply.accepted:
             self._advance(reply.match_index)
         elif reply.previous_index == self.next_index - 1:
@@ -106,7 +110,7 @@
 
     def note_chunk(self, context: Context, reply: SnapshotReply) -> None:
         """Send the chunk that the follower needs next."""
-        self.heard_at = max(self.heard_at, reply.sent_at)
+        self._note_answer(reply)
         transfer = self._transfer
         if transfer is None or reply.index != transfer.index:
             return
@@ -114,6 +118,10 @@
             self._offset = min(reply.offset, len(transfer.content))
             self._send_chunk(context)
 
+    def _note_answer(self, reply: AppendReply | SnapshotReply) -> None:
+        self.heard_at = max(self.heard_at, reply.sent_at)
+        self.answered_at = max(self.answered_at, reply.sent_at)
+
     def _advance(self, match_index: int) -> None:
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -66,6 +66,8 @@
         Seconds until the attempt is given up; also sent to the target.
     keep_answer
         True if a small whole answer must be reported in ``AnswerReady``.
+    account
+        Client account whose request it is, empty on a public route.
 
     """
 
@@ -76,6 +78,7 @@
     port: int
     timeout_s: float
     keep_answer: bool = False
+    account: str = ''
 
 
 @attrs.frozen
--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -120,6 +120,10 @@
         The caller's own patience in seconds, if it said so.
     minute_of_day
         Minutes since local midnight, for deadlines by time of day.
+    host
+        Value of ``Host`` without its port.
+    caller_id
+        Identifier that the caller gave to this request, for logs.
 
     """
 
@@ -131,6 +135,8 @@
     fingerprint: bytes = b''
     timeout_s: float | None = None
     minute_of_day: int = 0
+    host: str = ''
+    caller_id: str = ''
 
 
 @attrs.frozen
@@ -244,6 +250,9 @@
         Connections it accepts, over all VMs.
     sequence
         Increases with each announcement of this target.
+    born_ms
+        Unix time of its start in milliseconds, 0 if it doesn't say so; a
+        target that starts again under its id counts anew.
 
     """
 
@@ -257,6 +266,7 @@
     connections: int
     state: TargetState
     sequence: int
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -55,6 +55,21 @@
     key_ids: tuple[KeyId, ...]
 
 
+@attrs.frozen
+class DepartureReported(Notice):
+    """A target said that it leaves; the control log is to keep that.
+
+    Parameters
+    ----------
+    born_ms
+        Unix time of its start, which tells it from a later one of that id.
+
+    """
+
+    target: TargetId
+    born_ms: int
+
+
 class MemberStatus(Enum):
     """What gossip knows of another VM."""
 
@@ -179,6 +194,7 @@
     'ClaimRefused',
     'ClaimReplayed',
     'ConfigurationChanged',
+    'DepartureReported',
     'EntryCommitted',
     'KeysWithdrawn',
     'LeadershipChanged',
--- a/src/cranberryseam/daemon/logs.py
+++ b/src/cranberryseam/daemon/logs.py
@@ -43,8 +43,8 @@
 
 
 def configure_logs(vm: str, level: str) -> None:
-    """Send all logs to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send all logs to standard output as JSON lines."""
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(JsonLines(vm))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     # The libraries log each request at INFO, with URLs that are the caller's.
--- a/src/cranberryseam/daemon/main.py
+++ b/src/cranberryseam/daemon/main.py
@@ -4,16 +4,20 @@
 
 import gc
 import sys
+from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 import anyio
-import fire
 import pynng
+from expression import Result
 
 from ..configuration.files import load_settings
 from ..configuration.settings import Settings
+from ..core.errors import Failure
 from .logs import configure_logs
 from .program import open_program
+from .servers import PRODUCT_INTERFACES, Interfaces
 
 EXIT_FAILED: Final = 1
 EXIT_UNUSABLE_SETTINGS: Final = 2
@@ -35,24 +39,47 @@
         Path of the TOML settings file.
 
     """
-    settings = load_settings(config)
+    run_process(config, partial(load_settings, config), PRODUCT_INTERFACES)
+
+
+def run_process(
+    config: str,
+    load: Callable[[], Result[Settings, Failure]],
+    interfaces: Interfaces,
+) -> None:
+    """Run one process with settings of any format.
+
+    Parameters
+    ----------
+    config
+        Path of the settings, for messages.
+    load
+        Reads the settings.
+    interfaces
+        How the process speaks to its surroundings.
+
+    """
+    settings = load()
     if settings.is_error():
         _exit_with(str(settings.error), EXIT_UNUSABLE_SETTINGS)
-    configure_logs(settings.ok.vm.name, settings.ok.log_level)
+    name = settings.ok.log_name or settings.ok.vm.name
+    configure_logs(name, settings.ok.log_level)
     _relax_collector()
     try:
-        _run(settings.ok)
+        _run(settings.ok, interfaces)
     except (OSError, pynng.NNGException) as error:
         _exit_with(f'{config}: addresses: {error}', EXIT_UNUSABLE_ADDRESS)
 
 
 def main() -> None:
     """Read the command line of the daemon."""
+    import fire  # noqa: WPS433 - a tenth of a second that only this needs
+
     fire.Fire(run_daemon, name='cranberryseamd')
 
 
-def _run(settings: Settings) -> None:
-    with open_program(settings) as program:
+def _run(settings: Settings, interfaces: Interfaces) -> None:
+    with open_program(settings, interfaces) as program:
         if program.is_error():
             folder = settings.control.data_folder
             _exit_with(f'{folder}: {program.error}', EXIT_UNUSABLE_DISK)
@@ -76,4 +103,4 @@
 if __name__ == '__main__':
     main()
 
-__all__ = ('main', 'run_daemon')
+__all__ = ('main', 'run_daemon', 'run_process')
--- a/src/cranberryseam/daemon/peers.py
+++ b/src/cranberryseam/daemon/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -25,6 +26,10 @@
 RECONNECT_MIN_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 LARGEST_MESSAGE_BYTES: Final = 16_777_216
+# All protocols answer what they are sent within a round trip, so a peer that
+# was sent messages for this long and sent none may sit behind a connection
+# that went silent without a reset; a new one shows whether it does.
+SILENT_S: Final = 1.5
 
 _logger = logging.getLogger(__name__)
 
@@ -55,6 +60,8 @@
         self._metrics = metrics
         self._addresses: dict[VmId, str] = {}
         self._sockets: OrderedDict[VmId, pynng.Push0] = OrderedDict()
+        # When the oldest unanswered message to a peer was sent.
+        self._unanswered: dict[VmId, float] = {}
 
     def execute(self, effect: Effect) -> bool:
         """Send a message or learn an address; False for other effects."""
@@ -89,6 +96,7 @@
                 self._metrics.increment('peers.undecodable')
                 continue
             envelope = decoded.ok
+            self._unanswered.pop(envelope.sender, None)
             dispatch(
                 MessageReceived(clock(), envelope.sender, envelope.message)
             )
@@ -99,6 +107,7 @@
             self._sockets.popitem()[1].close()
 
     def _send(self, effect: SendMessage) -> None:
+        self._close_silent(effect.to)
         socket = self._find_socket(effect.to)
         if socket is None:
             self._metrics.increment('peers.unknown_address')
@@ -111,6 +120,18 @@
             return
         self._metrics.increment('peers.messages_sent')
         self._metrics.increment('peers.bytes_sent', len(raw))
+        kind = type(effect.message).__name__
+        self._metrics.increment(f'peers.bytes_sent.{kind}', len(raw))
+
+    def _close_silent(self, vm: VmId) -> None:
+        now = time.monotonic()
+        if now - self._unanswered.setdefault(vm, now) < SILENT_S:
+            return
+        self._unanswered[vm] = now
+        socket = self._sockets.pop(vm, None)
+        if socket is not None:
+            socket.close()
+            self._metrics.increment('peers.redialled')
 
     def _find_socket(self, vm: VmId) -> pynng.Push0 | None:
         socket = self._sockets.get(vm)
@@ -118,6 +139,9 @@
             self._sockets.move_to_end(vm)
             return socket
         address = self._addresses.get(vm)
+        if address is None:
+            # Where no list of VMs exists, a VM is named by its address.
+            address = vm if ':' in vm else None
         if address is None:
             return None
         while len(self._sockets) >= MOST_OPEN_SOCKETS:
--- a/src/cranberryseam/daemon/servers.py
+++ b/src/cranberryseam/daemon/servers.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable, Mapping
+from typing import Final, Protocol
 
 import anyio
 import attrs
@@ -13,19 +14,50 @@
 from ..serving.admin import AdminApi
 from ..serving.announcements import AnnouncementApi
 from ..serving.asgi import App
+from ..serving.counters import CountersApi
+from ..serving.dialect import PRODUCT, Dialect
 from ..serving.gateway import Gateway
 from ..serving.listener import open_socket, serve_app
 from .metrics import Metrics
 
 
+class OutsideFactory(Protocol):
+    """Builds the interface that a platform adapter adds to a process."""
+
+    def __call__(self, announcements: AnnouncementApi, admin: AdminApi) -> App:
+        """Return the application."""
+
+
+@attrs.frozen
+class Interfaces:
+    """How a process speaks to its surroundings.
+
+    Parameters
+    ----------
+    dialect
+        Names towards callers and targets.
+    build_outside
+        Builds the application for ``addresses.outside``.
+
+    """
+
+    dialect: Dialect = PRODUCT
+    build_outside: OutsideFactory | None = None
+
+
+PRODUCT_INTERFACES: Final = Interfaces()
+
+
 @attrs.frozen
 class Servers:
     """The applications of one process and the sockets they are served on."""
 
     settings: Settings
+    interfaces: Interfaces
     gateway: Gateway
     announcements: AnnouncementApi
     admin: AdminApi
+    counters: CountersApi
     listeners: Mapping[str, socket.socket]
 
     async def run(self, stopped: anyio.Event) -> None:
@@ -37,11 +69,17 @@
         await self.gateway.close()
 
     def _apps(self) -> Mapping[str, App]:
-        return {
+        apps: dict[str, App] = {
             'callers': self.gateway.app,
+            'ready': self.gateway.app,
             'targets': self.announcements.app,
             'admin': self.admin.app,
+            'metrics': self.counters.app,
         }
+        build = self.interfaces.build_outside
+        if build is not None:
+            apps['outside'] = build(self.announcements, self.admin)
+        return apps
 
     async def _serve(self, name: str, app: App, stopped: anyio.Event) -> None:
         await serve_app(
@@ -54,6 +92,7 @@
     dispatch: Callable[[Event], None],
     clock: Callable[[], float],
     metrics: Metrics,
+    interfaces: Interfaces,
 ) -> Servers:
     """Open the sockets of all HTTP interfaces that have an address.
 
@@ -63,16 +102,17 @@
         If an address can't be bound.
 
     """
-    addresses = {
-        'callers': settings.addresses.callers,
-        'targets': settings.addresses.targets,
-        'admin': settings.addresses.admin,
-    }
+    addresses = attrs.asdict(settings.addresses)
+    addresses.pop('peers')
     return Servers(
         settings=settings,
-        gateway=Gateway(settings, dispatch, clock, metrics.increment),
+        interfaces=interfaces,
+        gateway=Gateway(
+            settings, dispatch, clock, metrics.increment, interfaces.dialect
+        ),
         announcements=AnnouncementApi(dispatch, clock),
         admin=AdminApi(settings, dispatch, clock, metrics.counts),
+        counters=CountersApi(metrics.render),
         listeners={
             name: open_socket(address)
             for name, address in addresses.items()
@@ -81,4 +121,4 @@
     )
 
 
-__all__ = ('Servers', 'open_servers')
+__all__ = ('Interfaces', 'OutsideFactory', 'Servers', 'open_servers')
--- a/src/cranberryseam/fleet/messages.py
+++ b/src/cranberryseam/fleet/messages.py
@@ -221,6 +221,7 @@
     services: tuple[Service, ...] = ()
     keys: tuple[Key, ...] = ()
     withdrawn: tuple[str, ...] = ()
+    content_version: int = 0
 
 
 class PullRecords(Message, frozen=True, array_like=True, tag=_Tag.pull_records):
--- a/src/cranberryseam/fleet/snapshot.py
+++ b/src/cranberryseam/fleet/snapshot.py
@@ -50,6 +50,7 @@
             services=tuple(row for row in rows if isinstance(row, Service)),
             keys=tuple(row for row in rows if isinstance(row, Key)),
             withdrawn=tuple(row for row in rows if isinstance(row, str)),
+            content_version=configuration.content_version,
         )
 
     def release(self) -> None:
@@ -115,6 +116,7 @@
             withdrawn=frozenset(
                 KeyId(row) for part in self.chunks for row in part.withdrawn
             ),
+            content_version=first.content_version,
         )
 
     def _has_version(self, version: int) -> bool:
--- /dev/null
+++ b/src/cranberryseam/idempotency/absent.py
@@ -0,0 +1,37 @@
+"""Claims in a fleet without replica groups."""
+
+from __future__ import annotations
+
+from ..core.events import StoredAnswer
+from ..core.notices import ClaimRefused
+from ..core.refusals import Ran, RefusalReason
+from ..types import AccountId, Output, RequestId
+
+
+class AbsentClaims:
+    """Refuses idempotency keys, because nobody could remember them."""
+
+    def claim(
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        key: str,
+        fingerprint: bytes,
+        at: float,
+    ) -> list[Output]:
+        """Refuse; running without a record could run the work twice."""
+        reason = RefusalReason.claim_owner_unreachable
+        return [ClaimRefused(at, request_id, reason, Ran.no)]
+
+    def complete(
+        self,
+        request_id: RequestId,
+        answer: StoredAnswer | None,
+        ran: Ran,
+        at: float,
+    ) -> list[Output]:
+        """Take no outcome, as no claim was granted."""
+        return []
+
+
+__all__ = ('AbsentClaims',)
--- a/src/cranberryseam/keys/freshness.py
+++ b/src/cranberryseam/keys/freshness.py
@@ -27,7 +27,7 @@
     def __init__(self, settings: Settings) -> None:
         """Start without evidence."""
         self._limit_s = settings.keys.freshness_s
-        self._is_exempt = not settings.peers
+        self._is_exempt = not settings.peers and not settings.control.seeds
         self._by_region = settings.keys.isolation == 'region'
         self._own_region = settings.vm.region
         self._majority = len(settings.regions) // 2 + 1
--- a/src/cranberryseam/keys/table.py
+++ b/src/cranberryseam/keys/table.py
@@ -105,8 +105,12 @@
 
     def _configure(self, notice: ConfigurationChanged) -> None:
         configuration = notice.configuration
+        before = self._configuration
         self._configuration = configuration
-        self._index(configuration)
+        if before is None or before.document == configuration.document:
+            self._index(configuration)
+        else:
+            self._rebuild(configuration)
         self._withdrawn -= configuration.withdrawn
 
     def _withdraw(self, notice: KeysWithdrawn) -> None:
@@ -150,7 +154,12 @@
         newest = islice(reversed(list(keys.values())), missing)
         self._by_hash.update((key.key_hash, key) for key in newest)
         if len(self._by_hash) != len(keys):
-            self._by_hash = {key.key_hash: key for key in keys.values()}
+            self._rebuild(configuration)
+
+    def _rebuild(self, configuration: Configuration) -> None:
+        # A document replaces all keys, with as many others perhaps.
+        keys = configuration.keys.values()
+        self._by_hash = {key.key_hash: key for key in keys}
 
 
 def _refuse(
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -19,8 +19,7 @@
 if TYPE_CHECKING:
     from ..configuration.model import Configuration
     from ..configuration.settings import Settings
-    from ..ownership import Ownership
-    from ..types import Output
+    from ..types import Output, Owners
 
 PART = 'limits'
 WAIT_TIMER = 'wait'
@@ -49,7 +48,7 @@
 class TokenClient:
     """Tokens of this VM: cached leases, asks and waiting requests."""
 
-    def __init__(self, settings: Settings, ownership: Ownership) -> None:
+    def __init__(self, settings: Settings, ownership: Owners) -> None:
         """Start without tokens."""
         self.run = 0
         self.configuration: Configuration | None = None
--- a/src/cranberryseam/limits/owner.py
+++ b/src/cranberryseam/limits/owner.py
@@ -16,8 +16,7 @@
 
 if TYPE_CHECKING:
     from ..configuration.settings import Settings
-    from ..ownership import Ownership
-    from ..types import Output, VmId
+    from ..types import Output, Owners, VmId
     from .shares import Limit
 
 _SWEEP_S = 5.0
@@ -56,7 +55,7 @@
 class BucketOwner:
     """Owner's side: gives tokens of the buckets of groups it leads."""
 
-    def __init__(self, settings: Settings, ownership: Ownership) -> None:
+    def __init__(self, settings: Settings, ownership: Owners) -> None:
         """Start without buckets."""
         self._region = settings.vm.region
         self._regions = settings.region_names
--- a/src/cranberryseam/limits/part.py
+++ b/src/cranberryseam/limits/part.py
@@ -26,8 +26,7 @@
     from ..configuration.settings import Settings
     from ..core.messages import Message
     from ..core.notices import Notice
-    from ..ownership import Ownership
-    from ..types import AccountId, Output, RequestId, VmId
+    from ..types import AccountId, Output, Owners, RequestId, VmId
 
 _SWEEP_TIMER = 'sweep'
 _SWEEP_S = 5.0
@@ -50,7 +49,7 @@
     """
 
     def __init__(
-        self, settings: Settings, ownership: Ownership, rng: random.Random
+        self, settings: Settings, ownership: Owners, rng: random.Random
     ) -> None:
         """Start without tokens and buckets."""
         self._vm = settings.vm_id
--- a/src/cranberryseam/requests/admission.py
+++ b/src/cranberryseam/requests/admission.py
@@ -40,9 +40,11 @@
 
     """
     head = event.head
-    route = configuration.find_route(head.method, head.path)
+    route = configuration.find_route(head.method, head.path, head.host)
     if route is not None and route.public:
         return _admit_public(route, event)
+    if route is None and configuration.document is not None:
+        return _refuse(RefusalReason.route_unknown)
     if not head.key_hashes:
         return _refuse(RefusalReason.key_missing)
     if len(head.key_hashes) > 1:
@@ -56,7 +58,7 @@
 def _admit_public(
     route: Route, event: RequestArrived
 ) -> Result[RequestState, Refusal]:
-    if event.head.idempotency_key and event.head.method not in route.retriable:
+    if event.head.idempotency_key and not route.repeats(event.head.method):
         # Without an account there is no owner for the claim; running it
         # anyway would break the promise that the key stands for.
         return _refuse(RefusalReason.idempotency_key_invalid)
@@ -75,9 +77,12 @@
     plan = configuration.plans[account.plan]
     if route is None:
         return _refuse(RefusalReason.route_unknown)
-    if route.name not in plan.routes:
+    if not plan.allows(route.name):
         return _refuse(RefusalReason.route_not_in_plan)
-    return _check_deadline(_build_state(route, name, plan.weight, event))
+    state = _build_state(route, name, plan.weight, event)
+    state.rank = route.rank if plan.rank is None else plan.rank
+    state.is_limited = plan.rate > 0
+    return _check_deadline(state)
 
 
 def _build_state(
@@ -87,6 +92,8 @@
     timeout_s = head.timeout_s
     if timeout_s is None:
         timeout_s = route.deadline_at_minute(head.minute_of_day)
+    if route.most_wait_s:
+        timeout_s = min(timeout_s, route.most_wait_s)
     key_hash = None if route.public else head.key_hashes[0]
     return RequestState(
         request_id=event.request_id,
@@ -96,8 +103,11 @@
         weight=weight,
         key_hash=key_hash,
         deadline_at=event.at + min(timeout_s, MOST_TIMEOUT_S),
-        retriable=head.method in route.retriable,
+        retriable=route.repeats(head.method),
         attempt_at=event.at,
+        arrived_at=event.at,
+        service=route.service,
+        rank=route.rank,
     )
 
 
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -11,14 +11,25 @@
 from ..routing.model import AdmitRequest, AttemptOutcome
 from ..types import AttemptId, Output
 from .endings import Endings, count_refusal
+from .lines import describe_attempt
 from .outcomes import classify_answer, classify_failure, refuse_failed
 from .state import RequestState, Stage
 
 # Attempts of one request, the first one included, without those that a
 # target refused because it was overloaded.
 MOST_ATTEMPTS: Final = 3
+# Targets of one request to which no connection was made; each takes up to
+# 0.4 s, and more of them mean that this VM is cut off.
+MOST_UNREACHED: Final = 4
 
 _Outputs = list[Output]
+_FAULTY: Final = frozenset(
+    (
+        AttemptOutcome.failed,
+        AttemptOutcome.shed,
+        AttemptOutcome.not_connected,
+    )
+)
 
 
 class Attempts:
@@ -47,7 +58,7 @@
         state.attempt += 1
         admit = AdmitRequest(
             request_id=state.request_id,
-            service=state.route.service,
+            service=state.service,
             account=state.account,
             weight=state.weight,
             lane=state.route.lane,
@@ -55,6 +66,7 @@
             retriable=state.retriable,
             excluded=state.excluded,
             attempt=state.attempt,
+            rank=state.rank,
         )
         return list(self._router.admit(admit, at))
 
@@ -85,6 +97,7 @@
                 port=notice.port,
                 timeout_s=left_s,
                 keep_answer=state.claimed,
+                account='' if state.key_hash is None else state.account,
             )
         ]
 
@@ -98,6 +111,10 @@
         state.may_have_run = state.may_have_run or event.sent
         outcome = classify_failure(event.failure)
         released = self._endings.release(state, outcome, event.at)
+        failure = event.failure.value
+        released.append(
+            describe_attempt(state, failure, event.at, sent=event.sent)
+        )
         retry_is_safe = state.retriable or not event.sent
         if retry_is_safe and self._take_retry(state, outcome, event.at):
             return [*released, *self._retry(state, outcome, event.at)]
@@ -112,18 +129,14 @@
         if state is None:
             return []
         outcome = classify_answer(event)
-        state.may_have_run = state.may_have_run or not event.not_run
-        faulty = outcome in {AttemptOutcome.failed, AttemptOutcome.shed}
-        retry_is_safe = faulty and (state.retriable or event.not_run)
-        if retry_is_safe and self._take_retry(state, outcome, event.at):
-            return [
-                fx.CancelAttempt(state.request_id, state.attempt_id),
-                *self._endings.release(state, outcome, event.at),
-                *self._retry(state, outcome, event.at),
-            ]
-        if event.not_run:
-            return self._refuse_overloaded(state, event)
-        return self._forward(state, event, outcome)
+        line = describe_attempt(
+            state,
+            outcome.value,
+            event.at,
+            status=event.status,
+            not_run=event.not_run,
+        )
+        return [line, *self._decide(state, event, outcome)]
 
     def end_answer(self, event: ev.AnswerEnded) -> _Outputs:
         """End a request whose answer was forwarded."""
@@ -144,6 +157,25 @@
             count_refusal(RefusalReason.answer_incomplete),
         ]
 
+    def _decide(
+        self,
+        state: RequestState,
+        event: ev.AnswerReady,
+        outcome: AttemptOutcome,
+    ) -> _Outputs:
+        state.may_have_run = state.may_have_run or not event.not_run
+        faulty = outcome in _FAULTY
+        retry_is_safe = faulty and (state.retriable or event.not_run)
+        if retry_is_safe and self._take_retry(state, outcome, event.at):
+            return [
+                fx.CancelAttempt(state.request_id, state.attempt_id),
+                *self._endings.release(state, outcome, event.at),
+                *self._retry(state, outcome, event.at),
+            ]
+        if event.not_run:
+            return self._refuse_overloaded(state, event)
+        return self._forward(state, event, outcome)
+
     def _refuse_overloaded(
         self, state: RequestState, event: ev.AnswerReady
     ) -> _Outputs:
@@ -188,17 +220,23 @@
         # A target that sheds did no work; the request keeps its turn and
         # waits, so this is no attempt that the limit is meant for.
         shed = outcome is AttemptOutcome.shed
-        if state.failures >= MOST_ATTEMPTS - 1 and not shed:
+        limited = state.route.most_attempts
+        unreached = outcome is AttemptOutcome.not_connected
+        if limited and unreached and not state.may_have_run:
+            # The route limits the targets that get the request: none did.
+            state.unreached += 1
+            return state.unreached <= MOST_UNREACHED
+        most = limited or MOST_ATTEMPTS
+        if state.failures >= most - 1 and not shed:
             return False
-        return self._router.may_retry(
-            state.route.service, state.account, at, outcome
-        )
+        return self._router.may_retry(state.service, state.account, at, outcome)
 
     def _retry(
         self, state: RequestState, outcome: AttemptOutcome, at: float
     ) -> _Outputs:
         if outcome is not AttemptOutcome.shed:
-            state.failures += 1
+            if state.may_have_run or not state.unreached:
+                state.failures += 1
             if state.target is not None:
                 state.excluded |= {state.target}
         counter = fx.IncrementCounter(f'retries.{outcome.value}')
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
@@ -10,7 +11,7 @@
 from ..core import events as ev
 from ..core import notices as nt
 from ..core.refusals import Ran, Refusal, RefusalReason
-from ..types import Output
+from ..types import Output, ServiceName
 from .admission import PUBLIC_ACCOUNT, admit_request
 from .attempts import Attempts
 from .collaborators import Collaborators
@@ -43,12 +44,17 @@
     ----------
     collaborators
         The parts that decide on keys, tokens, claims and slots.
+    rng
+        Draws the service of requests on routes with a split.
 
     """
 
-    def __init__(self, collaborators: Collaborators) -> None:
+    def __init__(
+        self, collaborators: Collaborators, rng: random.Random
+    ) -> None:
         """Start without requests and without a configuration."""
         self._with = collaborators
+        self._rng = rng
         self._endings = Endings(collaborators)
         self._attempts = Attempts(self._endings)
         self._configuration = Configuration()
@@ -102,7 +108,9 @@
             return _refuse_arrival(event, admitted.error)
         state = admitted.ok
         self._endings.states[state.request_id] = state
-        if state.account == PUBLIC_ACCOUNT:
+        if state.route.split:
+            state.service = self._draw_service(state.route.split)
+        if state.account == PUBLIC_ACCOUNT or not state.is_limited:
             return self._attempts.queue_for_slot(state, event.at)
         return list(
             self._with.limiter.acquire(
@@ -110,6 +118,11 @@
             )
         )
 
+    def _draw_service(self, split: tuple[tuple[str, int], ...]) -> ServiceName:
+        names = [name for name, _ in split]
+        weights = [weight for _, weight in split]
+        return ServiceName(self._rng.choices(names, weights)[0])
+
     def _find_vm_refusal(self) -> Refusal | None:
         reason = None
         if self._draining:
--- a/src/cranberryseam/requests/endings.py
+++ b/src/cranberryseam/requests/endings.py
@@ -10,6 +10,7 @@
 from ..routing.model import AttemptOutcome
 from ..types import AttemptId, Output, RequestId
 from .collaborators import Collaborators
+from .lines import describe_refusal
 from .state import RequestState, Stage
 
 _Outputs = list[Output]
@@ -54,7 +55,8 @@
         self.states.pop(state.request_id)
         told = doubt_refusal(refusal, is_unclaimed_copy(state))
         claim = self.complete_claim(state, refusal.ran, at)
-        return [*claim, *render_refusal(state.request_id, told)]
+        line = describe_refusal(state, told, at)
+        return [*claim, line, *render_refusal(state.request_id, told)]
 
     def abandon(self, state: RequestState, at: float) -> _Outputs:
         """End a request in any stage without telling the caller."""
@@ -83,7 +85,8 @@
                 fx.CutRequest(state.request_id, told),
                 count_refusal(told.reason),
             ]
-        return [*abandoned, *render_refusal(state.request_id, told)]
+        line = describe_refusal(state, told, at)
+        return [*abandoned, line, *render_refusal(state.request_id, told)]
 
     def release(
         self, state: RequestState, outcome: AttemptOutcome, at: float
--- /dev/null
+++ b/src/cranberryseam/requests/lines.py
@@ -0,0 +1,63 @@
+"""Log lines about requests: what was decided, and from which inputs."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from ..core.effects import WriteLog
+from ..core.refusals import Refusal
+from .state import RequestState
+
+_MS: Final = 1000
+_DIGITS: Final = 1
+
+
+def describe_refusal(
+    state: RequestState, refusal: Refusal, at: float
+) -> WriteLog:
+    """Return the line for a request that gets no answer of a target."""
+    return _write(
+        'request refused',
+        state,
+        at,
+        reason=refusal.reason.value,
+        ran=refusal.ran.value,
+        retry_after_s=refusal.retry_after_s,
+        stage=state.stage.value,
+        attempts=state.attempt,
+    )
+
+
+def describe_attempt(
+    state: RequestState, outcome: str, at: float, **details: object
+) -> WriteLog:
+    """Return the line for an attempt that has brought its result."""
+    return _write(
+        'attempt ended',
+        state,
+        at,
+        target=state.target,
+        attempt=state.attempt,
+        outcome=outcome,
+        took_ms=round((at - state.attempt_at) * _MS, _DIGITS),
+        **details,
+    )
+
+
+def _write(
+    message: str, state: RequestState, at: float, **details: object
+) -> WriteLog:
+    fields = {
+        'request': state.head.caller_id or state.request_id,
+        'route': state.route.name,
+        'service': state.service,
+        'account': state.account,
+        'age_ms': round((at - state.arrived_at) * _MS, _DIGITS),
+        'left_ms': round((state.deadline_at - at) * _MS, _DIGITS),
+        **details,
+    }
+    return WriteLog(logging.INFO, message, fields)
+
+
+__all__ = ('describe_attempt', 'describe_refusal')
--- a/src/cranberryseam/requests/outcomes.py
+++ b/src/cranberryseam/requests/outcomes.py
@@ -13,10 +13,14 @@
 FIRST_SERVER_ERROR: Final = 500
 TOO_MANY_REQUESTS: Final = 429
 SERVICE_UNAVAILABLE: Final = 503
+MISDIRECTED: Final = 421
 
 
 def classify_answer(event: AnswerReady) -> AttemptOutcome:
     """Return what an answer says about the target."""
+    if event.status == MISDIRECTED and event.not_run:
+        # Another target has the address now.
+        return AttemptOutcome.not_connected
     if event.not_run:
         return AttemptOutcome.shed
     if event.status in {TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE}:
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -9,7 +9,7 @@
 from ..configuration.model import Route
 from ..core.events import RequestHead
 from ..routing.model import AttemptOutcome
-from ..types import AccountId, AttemptId, RequestId, TargetId
+from ..types import AccountId, AttemptId, RequestId, ServiceName, TargetId
 
 
 class Stage(Enum):
@@ -45,6 +45,18 @@
         What the answer that is being forwarded says about the target.
     caller_left
         True if the attempt goes on only to learn the outcome of the claim.
+    service
+        The route's service, or the one drawn from its split.
+    rank
+        Urgency, 0 is the most urgent.
+    targets_run
+        Attempts after which a target may have run the request.
+    arrived_at
+        Time at which it arrived at this VM.
+    unreached
+        Attempts that never reached a target.
+    is_limited
+        False if the plan of the account has no rate.
 
     """
 
@@ -69,6 +81,12 @@
     slot_released: bool = False
     caller_left: bool = False
     outcome: AttemptOutcome = AttemptOutcome.succeeded
+    service: ServiceName = ServiceName('')
+    rank: int = 0
+    targets_run: int = 0
+    is_limited: bool = True
+    unreached: int = 0
+    arrived_at: float = 0
 
 
 __all__ = ('RequestState', 'Stage')
--- a/src/cranberryseam/routing/__init__.py
+++ b/src/cranberryseam/routing/__init__.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from .messages import MESSAGES
-from .model import AdmitRequest, AttemptOutcome, Leaders, Tuning
+from .model import ATTACHED, AdmitRequest, AttemptOutcome, Leaders, Tuning
 from .router import Router
 
 __all__ = (
+    'ATTACHED',
     'MESSAGES',
     'AdmitRequest',
     'AttemptOutcome',
--- a/src/cranberryseam/routing/budgets.py
+++ b/src/cranberryseam/routing/budgets.py
@@ -6,9 +6,8 @@
 
 import attrs
 
-_SHARE = 0.1
-_RESERVE = 3.0
-_REFILL_PER_S = 0.2
+from .model import RetryTuning
+
 _MOST = 30.0
 _MOST_ACCOUNTS = 4096
 
@@ -18,10 +17,10 @@
     units: float
     at: float
 
-    def refill(self, at: float) -> None:
-        if self.units < _RESERVE:
-            refilled = self.units + (at - self.at) * _REFILL_PER_S
-            self.units = min(_RESERVE, refilled)
+    def refill(self, at: float, tuning: RetryTuning) -> None:
+        if self.units < tuning.reserve:
+            refilled = self.units + (at - self.at) * tuning.refill_per_s
+            self.units = min(tuning.reserve, refilled)
         self.at = at
 
 
@@ -33,15 +32,16 @@
     unused for longest is forgotten.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tuning: RetryTuning) -> None:
         """Start with the reserve for everyone."""
+        self._tuning = tuning
         self._services: OrderedDict[str, _Budget] = OrderedDict()
         self._accounts: OrderedDict[str, _Budget] = OrderedDict()
 
     def credit(self, service: str, account: str, at: float) -> None:
         """Count a success."""
         for budget in self._find_both(service, account, at):
-            budget.units = min(_MOST, budget.units + _SHARE)
+            budget.units = min(_MOST, budget.units + self._tuning.share)
 
     def take(self, service: str, account: str, at: float) -> bool:
         """Take one unit of both budgets, or of none."""
@@ -56,21 +56,22 @@
         self, service: str, account: str, at: float
     ) -> tuple[_Budget, _Budget]:
         return (
-            _find(self._services, service, at),
-            _find(self._accounts, account, at),
+            self._find(self._services, service, at),
+            self._find(self._accounts, account, at),
         )
 
-
-def _find(known: OrderedDict[str, _Budget], name: str, at: float) -> _Budget:
-    budget = known.get(name)
-    if budget is None:
-        budget = _Budget(_RESERVE, at)
-        known[name] = budget
-        if len(known) > _MOST_ACCOUNTS:
-            known.popitem(last=False)
-    known.move_to_end(name)
-    budget.refill(at)
-    return budget
+    def _find(
+        self, known: OrderedDict[str, _Budget], name: str, at: float
+    ) -> _Budget:
+        budget = known.get(name)
+        if budget is None:
+            budget = _Budget(self._tuning.reserve, at)
+            known[name] = budget
+            if len(known) > _MOST_ACCOUNTS:
+                known.popitem(last=False)
+        known.move_to_end(name)
+        budget.refill(at, self._tuning)
+        return budget
 
 
 __all__ = ('RetryBudgets',)
--- /dev/null
+++ b/src/cranberryseam/routing/health.py
@@ -0,0 +1,109 @@
+"""Belief that a target fails most of its requests at the moment.
+
+Targets fail in spells of several seconds. A two-state model tells how likely
+a target is in such a spell: each outcome moves the odds by how much more often
+it occurs in one of the states, and without outcomes the belief goes back to
+the usual share of time. So a target is avoided after its first failure, and is
+tried again after some seconds, without being excluded.
+"""
+
+from __future__ import annotations
+
+import math
+from enum import IntEnum
+from types import MappingProxyType
+from typing import Final
+
+import attrs
+
+from .model import AttemptOutcome
+
+# Spells of 5 to 9 s were seen, on about a third of the targets at a time; a
+# smaller share is assumed, because most single failures are not a spell.
+_START_PER_S: Final = 0.025
+_END_PER_S: Final = 0.143
+_USUAL: Final = _START_PER_S / (_START_PER_S + _END_PER_S)
+_FORGET_PER_S: Final = _START_PER_S + _END_PER_S
+# A belief beyond these would need many outcomes to change again.
+_LEAST: Final = 0.005
+_MOST: Final = 0.995
+# Beliefs travel as percent.
+_PERCENT: Final = 100
+
+
+class Evidence(IntEnum):
+    """What an outcome says about its target."""
+
+    success = 0
+    failure = 1
+    # No connection, or no answer in time: the cause may be the path, or the
+    # request itself.
+    silence = 2
+
+
+# Frequency of an outcome in a spell, in relation to other times: three in four
+# requests fail in a spell, one in eighty at other times.
+_FACTORS: Final = MappingProxyType(
+    {
+        Evidence.success: 0.25,
+        Evidence.failure: 60.0,
+        Evidence.silence: 6.0,
+    }
+)
+_EVIDENCE: Final = MappingProxyType(
+    {
+        AttemptOutcome.succeeded: Evidence.success,
+        AttemptOutcome.failed: Evidence.failure,
+        AttemptOutcome.timed_out: Evidence.silence,
+        AttemptOutcome.not_connected: Evidence.silence,
+    }
+)
+
+
+def classify_evidence(outcome: AttemptOutcome) -> Evidence | None:
+    """Return what an outcome says about the target, None for nothing."""
+    return _EVIDENCE.get(outcome)
+
+
+@attrs.define(eq=False)
+class Belief:
+    """Probability that a target is in a spell of failures."""
+
+    probability: float = _USUAL
+    at: float = 0
+
+    def read(self, at: float) -> float:
+        """Return the probability at a time, without new outcomes."""
+        kept = math.exp(-_FORGET_PER_S * max(0, at - self.at))
+        return _USUAL + (self.probability - _USUAL) * kept
+
+    def learn(self, evidence: Evidence, at: float) -> None:
+        """Take an outcome into account."""
+        before = self.read(at)
+        odds = before / (1 - before) * _FACTORS[evidence]
+        self.set_to(odds / (1 + odds), at)
+
+    def set_to(self, probability: float, at: float) -> None:
+        """Replace the belief by a newer one."""
+        self.probability = min(_MOST, max(_LEAST, probability))
+        self.at = at
+
+    @property
+    def percent(self) -> int:
+        """The probability as it is sent."""
+        return round(self.probability * _PERCENT)
+
+    def take_percent(self, percent: int, at: float) -> None:
+        """Replace the belief by one that was sent."""
+        self.set_to(percent / _PERCENT, at)
+
+    def is_remarkable(self, at: float) -> bool:
+        """Return whether a success would change what VMs do."""
+        return self.read(at) > _USUAL
+
+
+__all__ = (
+    'Belief',
+    'Evidence',
+    'classify_evidence',
+)
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -95,11 +95,41 @@
     loads: tuple[tuple[int, int], ...]
 
 
-MESSAGES: tuple[type[Message], ...] = (OutcomeReport, ServiceView)
+class HealthSeen(Message, frozen=True, array_like=True, tag=602):  # noqa: WPS432 (tag)
+    """One outcome that may change what VMs believe of a target.
+
+    Parameters
+    ----------
+    target
+        32-bit hash of its name.
+    evidence
+        Number of an ``Evidence``.
+
+    """
+
+    service: str
+    target: int
+    evidence: int
+
+
+class HealthTold(Message, frozen=True, array_like=True, tag=603):  # noqa: WPS432 (tag)
+    """Pairs of target hash and probability (percent) that it fails now."""
+
+    rows: tuple[tuple[int, int], ...]
+
+
+MESSAGES: tuple[type[Message], ...] = (
+    OutcomeReport,
+    ServiceView,
+    HealthSeen,
+    HealthTold,
+)
 
 __all__ = (
     'MESSAGES',
     'EjectedRow',
+    'HealthSeen',
+    'HealthTold',
     'OutcomeReport',
     'OutcomeRow',
     'ServiceView',
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -49,6 +49,8 @@
         Targets that were tried before and are avoided if others exist.
     attempt
         1 for the first attempt.
+    rank
+        Urgency, 0 is the most urgent.
 
     """
 
@@ -61,6 +63,7 @@
     retriable: bool
     excluded: frozenset[TargetId] = frozenset()
     attempt: int = 1
+    rank: int = 0
 
 
 class Leaders(Protocol):
@@ -73,6 +76,28 @@
         """Return whether this VM holds the leader lease at a time."""
 
 
+@attrs.frozen
+class RetryTuning:
+    """Budget of the retries of one VM, for each service and each account.
+
+    Parameters
+    ----------
+    share
+        Units for each success.
+    reserve, refill_per_s
+        Units to begin with, and how fast they come back.
+    shed_is_free
+        Whether another attempt after a shed one needs no unit, since it waits
+        for a slot like a new request.
+
+    """
+
+    share: float = 0.1
+    reserve: float = 3.0
+    refill_per_s: float = 0.2
+    shed_is_free: bool = True
+
+
 @attrs.frozen
 class Tuning:
     """Constants of the router; ``docs/POLICY.md`` says how to set them.
@@ -102,6 +127,12 @@
     reports_per_tick
         Most reports (one per service and region) per tick; services with
         failures or ejections come first.
+    budget
+        Budget of the retries of one VM.
+    beliefs
+        Whether VMs share beliefs about targets and choose by them.
+    told_load
+        Share of a target's slots from which on the leader tells its load.
     ejects, suspects
         False switches the leader's ejections, or the preferences of each VM
         on its own evidence, off; for comparisons.
@@ -121,14 +152,36 @@
     reports_per_tick: int = 6
     ejects: bool = True
     suspects: bool = True
+    budget: RetryTuning = RetryTuning()
+    beliefs: bool = False
+    told_load: float = 0
+
+
+# A target that was just started is slow for about this long.
+_SHORT_COLD_START_S = 3.0
+# A fleet that counts each arrival beyond the first against one budget: a fifth
+# of the requests and 56 in 10 s. Each of about 40 VMs keeps within its part.
+_SHARED_REFILL_PER_S = 0.08
+ATTACHED = Tuning(
+    ejects=False,
+    suspects=False,
+    beliefs=True,
+    told_load=0.5,
+    grace_s=_SHORT_COLD_START_S,
+    budget=RetryTuning(
+        reserve=1.0, refill_per_s=_SHARED_REFILL_PER_S, shed_is_free=False
+    ),
+)
 
 
 __all__ = (
+    'ATTACHED',
     'INTERACTIVE_LANE',
     'LONG_LANE',
     'PART',
     'AdmitRequest',
     'AttemptOutcome',
     'Leaders',
+    'RetryTuning',
     'Tuning',
 )
--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -147,6 +147,8 @@
                 (key, round(evidence.load * _HUNDREDTHS))
                 for key, evidence in self._by_hash.items()
                 if evidence.load
+                and evidence.load
+                >= self._tuning.told_load * evidence.announcement.slots
             ),
         )
 
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -29,7 +29,7 @@
 from .budgets import RetryBudgets
 from .display import show_targets
 from .leading import DECIDE, Leading
-from .messages import OutcomeReport, ServiceView
+from .messages import HealthSeen, HealthTold, OutcomeReport, ServiceView
 from .model import (
     INTERACTIVE_LANE,
     PART,
@@ -40,6 +40,7 @@
 )
 from .reporting import Reporting, take_view
 from .service import ServiceState
+from .sharing import TELL, HealthSharing
 from .target import Target, hash_name
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
     ) -> None:
         """Start without targets."""
         self._vm = settings.vm
+        self._places = dict(settings.places)
         self._id = settings.vm_id
         self._rng = rng
         self._tuning = tuning or Tuning()
@@ -94,11 +96,12 @@
         self._floors: dict[str, float] = {}
         self._version = 0
         self._admission = Admission(rng)
-        self._budgets = RetryBudgets()
+        self._budgets = RetryBudgets(self._tuning.budget)
         self._reporting = Reporting(ownership, self._tuning)
         self._leading = Leading(
             self._id, settings.vm.region, self._tuning, ownership, rng
         )
+        self._sharing = HealthSharing(settings.vm.region, ownership)
         self._started_at: float = 0
         self._decayed_at: float = 0
 
@@ -112,8 +115,11 @@
             case TargetChanged(announcement=announcement, silent=silent):
                 return self._change_target(announcement, silent, event.at)
             case MemberChanged(vm=vm, status=status):
-                if status in {MemberStatus.dead, MemberStatus.left}:
+                if status is MemberStatus.alive:
+                    self._sharing.add_vm(vm)
+                elif status in {MemberStatus.dead, MemberStatus.left}:
                     self._leading.forget_vm(vm)
+                    self._sharing.remove_vm(vm)
             case LeadershipChanged():
                 self._leading.check_leadership(event.at)
             case ConfigurationChanged():
@@ -172,10 +178,11 @@
         if took_s is None:
             took_s = at - assignment.started_at
         assignment.learn(outcome, at, took_s, self._rng)
+        outputs = self._share_health(assignment.target, outcome, at)
         if outcome is AttemptOutcome.succeeded:
             request = assignment.request
             self._budgets.credit(request.service, request.account, at)
-        return self._admission.dispatch(assignment.state, at)
+        return [*outputs, *self._admission.dispatch(assignment.state, at)]
 
     def cancel(self, request_id: RequestId, at: float) -> list[Output]:
         """Forget a request whose caller left, waiting or assigned."""
@@ -200,7 +207,8 @@
             budget; its deadline bounds it.
 
         """
-        if outcome is AttemptOutcome.shed:
+        free = self._tuning.budget.shed_is_free
+        if outcome is AttemptOutcome.shed and free:
             return True
         return self._budgets.take(service, account, at)
 
@@ -227,6 +235,13 @@
         state.near(at)
         return frozenset(state.ejected)
 
+    def _share_health(
+        self, target: Target, outcome: AttemptOutcome, at: float
+    ) -> list[Output]:
+        if not self._tuning.beliefs:
+            return []
+        return self._deliver(self._sharing.note(target, outcome, at), at)
+
     def _start(self, at: float) -> list[Output]:
         self._started_at = at
         self._leading.start(at)
@@ -242,6 +257,8 @@
     def _fire(self, name: str, at: float) -> list[Output]:
         if name == TICK:
             return self._tick(at)
+        if name == TELL:
+            return self._deliver(self._sharing.tell(at), at)
         if name == DECIDE:
             return self._deliver(self._leading.decide(at), at)
         kind, _, service = name.partition(':')
@@ -291,6 +308,10 @@
                 return self._deliver(outputs, at)
             case ServiceView() as view:
                 return self._take_view(view, at)
+            case HealthSeen() as seen:
+                return self._sharing.receive(seen, at)
+            case HealthTold() as told:
+                self._sharing.take(told, at)
         return []
 
     def _take_view(self, view: ServiceView, at: float) -> list[Output]:
@@ -327,6 +348,7 @@
         if target is None:
             target = self._create_target(announcement, at)
             state.targets[announcement.target] = target
+            self._sharing.add_target(target)
         was_cold = target.cold or target.silent
         target.announcement = announcement
         target.silent = silent
@@ -335,15 +357,24 @@
             target.ramp_from = at
             target.limit = float(announcement.slots)
         if silent and not target.in_use:
+            self._sharing.remove_target(target)
             state.targets.pop(announcement.target)
             state.touched.pop(announcement.target, None)
         return self._admission.dispatch(state, at)
 
+    def _measure_distance(self, announcement: Announcement) -> int:
+        """Return 0 in the own data centre, 1 in the own region, else 2."""
+        own = self._vm.region
+        other = announcement.region
+        if self._places:
+            own = self._places.get(self._vm.data_centre, own)
+            other = self._places.get(announcement.data_centre, '')
+        if own != other:
+            return 2
+        return int(announcement.data_centre != self._vm.data_centre)
+
     def _create_target(self, announcement: Announcement, at: float) -> Target:
-        distance = 2
-        if announcement.region == self._vm.region:
-            same = announcement.data_centre == self._vm.data_centre
-            distance = 0 if same else 1
+        distance = self._measure_distance(announcement)
         target = Target(announcement, hash_name(announcement.target), distance)
         target.limit = float(announcement.slots)
         target.used_at = at
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -25,6 +25,12 @@
 # expected to be longer.
 _FAR_ROUND_TRIP_S = 0.06
 _TRIAL_MARGIN = 4.0
+# Costs in units of a target's whole capacity: a failed request costs its
+# caller the answer, and one that may be repeated a second attempt.
+_RISK_ONCE = 5.0
+_RISK_REPEATABLE = 3.0
+# An answer from another region costs bytes on billed links and 60 ms.
+_DISTANCE_COSTS = (0, 0.15, 1.0)
 
 
 class Selection:
@@ -60,6 +66,8 @@
 
     def choose(self) -> Target | None:
         """Return a target with room, None if the request must wait."""
+        if self._state.tuning.beliefs:
+            return self._choose_by_belief()
         trial = self._find_trial()
         if trial is not None:
             return trial
@@ -71,6 +79,25 @@
             best = self._pick(self._near[_FAR])
         return best
 
+    def _choose_by_belief(self) -> Target | None:
+        """Weigh load, distance and the chance of a failure together."""
+        usable = [
+            target
+            for group in self._near
+            for target in group
+            if self._may_use(target)
+        ]
+        # Equal targets are taken in turn, whatever their order is.
+        self._rng.shuffle(usable)
+        return min(usable, key=self._total_cost, default=None)
+
+    def _total_cost(self, target: Target) -> float:
+        retriable = self._request.retriable
+        risk = _RISK_REPEATABLE if retriable else _RISK_ONCE
+        chance = target.failure_chance(self._at)
+        distance = _DISTANCE_COSTS[target.distance]
+        return self._cost(target) + risk * chance + distance
+
     def _find_trial(self) -> Target | None:
         request = self._request
         if not (self._state.trials and request.retriable):
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from ..core.events import Announcement, TargetState
+from .health import Belief
 from .messages import OutcomeRow
 
 _DECAY_S = 10.0
@@ -78,6 +79,10 @@
         Concurrency that this VM allows itself, adapted to shedding.
     others
         Estimate of the slots that other VMs use.
+    belief
+        What all VMs together saw of it lately.
+    path
+        What this VM saw of it itself, which the path to it may cause.
 
     """
 
@@ -100,6 +105,8 @@
     decayed_at: float = 0
     latency_s: float = 0
     tally: Tally | None = None
+    belief: Belief = attrs.field(factory=Belief)
+    path: Belief = attrs.field(factory=Belief)
 
     @property
     def usable(self) -> bool:
@@ -119,6 +126,10 @@
             return 0
         return self.bad / (self.seen + 1)
 
+    def failure_chance(self, at: float) -> float:
+        """Return the probability that it fails most requests of this VM."""
+        return max(self.belief.read(at), self.path.read(at))
+
     def repeats(self, announcement: Announcement, silent: bool) -> bool:
         """Return whether an announcement says nothing new."""
         before = self.announcement
--- a/src/cranberryseam/serving/admin.py
+++ b/src/cranberryseam/serving/admin.py
@@ -69,6 +69,24 @@
         elif scope['type'] == 'http':
             await self._serve(scope, receive, send)
 
+    async def ask(
+        self, command: Command, timeout_s: float | None = None
+    ) -> CommandAnswer | Failure:
+        """Return the answer of the reducer to a command.
+
+        Parameters
+        ----------
+        timeout_s
+            Seconds after which the outcome counts as unknown.
+
+        """
+        command_id, waiter = self._replies.open()
+        self._dispatch(CommandReceived(self._clock(), command_id, command))
+        try:
+            return await asyncio.wait_for(waiter, timeout_s or self._timeout_s)
+        except TimeoutError:
+            return OutcomeUnknown()
+
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         if not self._is_allowed(scope):
             await send_failure(send, KeyRefused())
@@ -92,19 +110,11 @@
         return is_key(keys.default_value(()), self._key_hash)
 
     async def _run(self, command: Command, send: Send) -> None:
-        answer = await self._ask(command)
+        answer = await self.ask(command)
         if isinstance(answer, CommandAnswer):
             await send_json(send, HTTPStatus.OK, answer)
         else:
             await send_failure(send, answer)
 
-    async def _ask(self, command: Command) -> CommandAnswer | Failure:
-        command_id, waiter = self._replies.open()
-        self._dispatch(CommandReceived(self._clock(), command_id, command))
-        try:
-            return await asyncio.wait_for(waiter, self._timeout_s)
-        except TimeoutError:
-            return OutcomeUnknown()
-
 
 __all__ = ('AdminApi',)
--- a/src/cranberryseam/serving/announcements.py
+++ b/src/cranberryseam/serving/announcements.py
@@ -57,6 +57,7 @@
     connections: _Count
     state: TargetState
     sequence: _Sequence
+    born_ms: _Sequence = 0
 
 
 class AnnouncementApi:
@@ -88,6 +89,19 @@
             else:
                 await send_failure(send, failure)
 
+    async def ask(
+        self, announcement: Announcement, key_hash: bytes
+    ) -> Failure | None:
+        """Return why an announcement is refused, None if it is accepted."""
+        reply_id, waiter = self._replies.open()
+        self._dispatch(
+            TargetAnnounced(self._clock(), announcement, key_hash, reply_id)
+        )
+        try:
+            return await asyncio.wait_for(waiter, _REPLY_TIMEOUT_S)
+        except TimeoutError:
+            return OutcomeUnknown()
+
     async def _serve(self, scope: Scope, receive: Receive) -> Failure | None:
         if (scope['method'], scope['path']) != ('POST', PATH):
             return NoSuchResource()
@@ -99,22 +113,10 @@
         document = await read_document(receive, _MOST_BODY_BYTES)
         match document.bind(decode_announcement):
             case Result(tag='ok', ok=announcement):
-                return await self._ask(announcement, key_hashes[0])
+                return await self.ask(announcement, key_hashes[0])
             case failed:
                 return failed.error
 
-    async def _ask(
-        self, announcement: Announcement, key_hash: bytes
-    ) -> Failure | None:
-        reply_id, waiter = self._replies.open()
-        self._dispatch(
-            TargetAnnounced(self._clock(), announcement, key_hash, reply_id)
-        )
-        try:
-            return await asyncio.wait_for(waiter, _REPLY_TIMEOUT_S)
-        except TimeoutError:
-            return OutcomeUnknown()
-
 
 def decode_announcement(raw: bytes) -> Result[Announcement, Failure]:
     """Return an announcement from the body of a request."""
@@ -144,6 +146,7 @@
             connections=body.connections,
             state=body.state,
             sequence=body.sequence,
+            born_ms=body.born_ms,
         )
     )
 
--- a/src/cranberryseam/serving/answers.py
+++ b/src/cranberryseam/serving/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import calendar
+import re
 import time
 from collections.abc import AsyncIterator
 from email.utils import parsedate
@@ -13,10 +14,10 @@
 
 from ..core.events import StoredAnswer
 from .asgi import HeaderList
+from .dialect import PRODUCT, Dialect
 from .fields import (
     CHUNKED,
     CONTENT_LENGTH,
-    NOT_RUN,
     TRANSFER_ENCODING,
     select_answer_headers,
 )
@@ -29,9 +30,9 @@
 _RETRY_AFTER = b'retry-after'
 _LONGEST_RETRY_AFTER_DIGITS = 9
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-_SHEDDING = frozenset(
-    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
-)
+_MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
+_CONTENT_ENCODING = b'content-encoding'
+_FRACTION = re.compile(r'\d{1,9}\.\d{1,9}')
 _FIRST_FINAL_STATUS = 200
 _LAST_STATUS = 599
 
@@ -44,21 +45,36 @@
     ----------
     chunks
         The part of the body that has not been read.
+    dialect
+        Names of the headers by which the target speaks.
     complete
         True if nothing is left in ``chunks``.
+    measured
+        False if the answer ends with its connection.
 
     """
 
     status: int
     headers: HeaderList
     chunks: AsyncIterator[bytes]
+    dialect: Dialect = PRODUCT
     first: bytes = b''
     complete: bool = False
+    measured: bool = True
 
     @property
     def not_run(self) -> bool:
         """Whether the target says that it did not run the request."""
-        return self.status in _SHEDDING and (NOT_RUN, b'1') in self.headers
+        dialect = self.dialect
+        if dialect.expected_target and self.status == _MISDIRECTED:
+            return True
+        statuses = dialect.not_run_statuses
+        if statuses and self.status not in statuses:
+            return False
+        return any(
+            name == dialect.not_run and dialect.not_run_value in {b'', field}
+            for name, field in self.headers
+        )
 
     @property
     def retry_after_s(self) -> float | None:
@@ -75,11 +91,18 @@
         return StoredAnswer(self.status, tuple(self.headers), self.first)
 
 
-def open_answer(response: httpx.Response, method: str) -> Answer | None:
+def open_answer(
+    response: httpx.Response,
+    method: str,
+    dialect: Dialect = PRODUCT,
+    caller_id: bytes = b'',
+) -> Answer | None:
     """Return an answer whose end can be told, None for any other.
 
     An answer that ends with its connection looks the same when it breaks
-    off, so it is not accepted.
+    off, so it is not accepted, unless the targets are known to reset the
+    connections of broken answers. An answer that repeats the identifier of
+    another request is a late one for that request.
     """
     status = response.status_code
     if not _FIRST_FINAL_STATUS <= status <= _LAST_STATUS:
@@ -91,10 +114,26 @@
     measured = CONTENT_LENGTH in names
     chunked = _is_chunked(raw)
     bodiless = method == 'HEAD' or status in _BODILESS
-    if measured == chunked and (measured or not bodiless):
+    open_end = not (measured or chunked or bodiless)
+    if measured and chunked or open_end and not dialect.ends_with_connection:
+        return None
+    headers = select_answer_headers(raw)
+    if not _is_genuine(status, headers, dialect, caller_id):
         return None
     chunks = aiter(response.stream)
-    return Answer(status, select_answer_headers(raw), chunks)
+    return Answer(status, headers, chunks, dialect, measured=not open_end)
+
+
+def _is_genuine(
+    status: int, headers: HeaderList, dialect: Dialect, caller_id: bytes
+) -> bool:
+    fields = dict(headers)
+    if caller_id and fields.get(dialect.caller_id, caller_id) != caller_id:
+        return False
+    if not dialect.proof or status >= HTTPStatus.MULTIPLE_CHOICES:
+        return True
+    # An encoded body was made by something between here and the target.
+    return dialect.proof in fields and _CONTENT_ENCODING not in fields
 
 
 async def read_first_part(answer: Answer) -> None:
@@ -109,6 +148,9 @@
     else:
         answer.complete = True
     answer.first = b''.join(parts)
+    if answer.complete and not answer.measured:
+        length = b'%d' % len(answer.first)
+        answer.headers.append((CONTENT_LENGTH, length))
 
 
 def parse_retry_after(field: bytes) -> float | None:
@@ -118,6 +160,8 @@
         if len(text) > _LONGEST_RETRY_AFTER_DIGITS:
             return None
         return float(text)
+    if _FRACTION.fullmatch(text):
+        return float(text)
     moment = parsedate(text)
     if moment is None:
         return None
--- a/src/cranberryseam/serving/arrivals.py
+++ b/src/cranberryseam/serving/arrivals.py
@@ -37,6 +37,8 @@
             fingerprint=fingerprint_call(head, call.body) if keyed else b'',
             timeout_s=head.timeout_s,
             minute_of_day=find_minute_of_day(time.time(), utc_offset_minutes),
+            host=head.host.decode('latin-1').partition(':')[0].lower(),
+            caller_id=head.caller_id.decode('latin-1'),
         ),
     )
 
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -23,6 +23,7 @@
 from .asgi import send_body, start_answer
 from .bodies import BodyBrokenError
 from .calls import Call, Ending
+from .dialect import Dialect
 from .upstream import Upstream, WriteTrace
 
 # A forwarded answer may last long, but not without any progress.
@@ -40,6 +41,7 @@
     """What an attempt uses of its surroundings."""
 
     upstream: Upstream
+    dialect: Dialect
     dispatch: Callable[[Event], None]
     clock: Callable[[], float]
     on_end: Callable[[Call, Attempt], None]
@@ -130,14 +132,17 @@
             return self._classify()
 
     async def _exchange(self) -> AttemptFailure | None:
-        outgoing = self._call.build_outgoing(self._effect.timeout_s)
+        dialect = self._ports.dialect
+        outgoing = self._call.build_outgoing(self._effect, dialect)
         self._response = await self._connection.send(outgoing, self._trace)
-        answer = open_answer(self._response, outgoing.method)
+        answer = open_answer(
+            self._response, outgoing.method, dialect, self._call.head.caller_id
+        )
         if answer is None:
             return AttemptFailure.answer_invalid
         await read_first_part(answer)
         if answer.complete:
-            await self._release(reusable=True)
+            await self._release(reusable=answer.measured)
         self._timer.cancel()
         self._report_ready(answer)
         if not self._go.done():
--- a/src/cranberryseam/serving/calls.py
+++ b/src/cranberryseam/serving/calls.py
@@ -10,11 +10,12 @@
 import attrs
 import httpx
 
-from ..core.effects import RefuseRequest, ReplayAnswer
+from ..core.effects import RefuseRequest, ReplayAnswer, StartAttempt
 from ..types import AttemptId, RequestId
 from .asgi import HeaderList, Send
 from .bodies import CallBody, StreamedBody
-from .fields import CHUNKED, CONTENT_LENGTH, DEADLINE, TRANSFER_ENCODING
+from .dialect import Dialect
+from .fields import CHUNKED, CONTENT_LENGTH, TRANSFER_ENCODING
 from .framing import CallHead
 from .upstream import Outgoing
 
@@ -69,11 +70,22 @@
         """Return whether the body can still be sent as a whole."""
         return not self.body.taken
 
-    def build_outgoing(self, timeout_s: float) -> Outgoing:
+    def build_outgoing(
+        self, effect: StartAttempt, dialect: Dialect
+    ) -> Outgoing:
         """Return the request as the target gets it."""
         head = self.head
-        deadline = b'%d' % max(1, int(timeout_s * _MS_PER_S))
-        headers = [*head.headers, *self.forwarding, (DEADLINE, deadline)]
+        deadline = b'%d' % max(1, int(effect.timeout_s * _MS_PER_S))
+        headers = [
+            *head.headers,
+            *self.forwarding,
+            (dialect.target_deadline, deadline),
+        ]
+        if dialect.expected_target:
+            target = effect.target.encode()
+            headers.append((dialect.expected_target, target))
+        if dialect.account and effect.account:
+            headers.append((dialect.account, effect.account.encode()))
         body: httpx.AsyncByteStream
         if self.body.whole:
             whole = self.body.join()
@@ -83,7 +95,8 @@
         else:
             headers.append(_frame_stream(head))
             body = StreamedBody(self.body)
-        return Outgoing(head.method, head.target.raw, headers, body)
+        host = head.host if dialect.keeps_host else b''
+        return Outgoing(head.method, head.target.raw, headers, body, host)
 
 
 def _frame_stream(head: CallHead) -> tuple[bytes, bytes]:
--- /dev/null
+++ b/src/cranberryseam/serving/counters.py
@@ -0,0 +1,44 @@
+"""Counters and histograms of a process as text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from .asgi import (
+    LIFESPAN,
+    Receive,
+    Scope,
+    Send,
+    send_answer,
+    serve_lifespan,
+)
+
+_TEXT = (b'content-type', b'text/plain; charset=utf-8')
+
+
+class CountersApi:
+    """Serves the same page at every path.
+
+    Parameters
+    ----------
+    render
+        Returns the page.
+
+    """
+
+    def __init__(self, render: Callable[[], str]) -> None:
+        """Keep the function that renders the page."""
+        self._render = render
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request (ASGI)."""
+        if scope['type'] == LIFESPAN:
+            await serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            page = self._render().encode()
+            length = (b'content-length', b'%d' % len(page))
+            await send_answer(send, HTTPStatus.OK, (_TEXT, length), page)
+
+
+__all__ = ('CountersApi',)
--- a/src/cranberryseam/serving/credentials.py
+++ b/src/cranberryseam/serving/credentials.py
@@ -25,6 +25,7 @@
 
 def read_keys(
     pairs: Iterable[HeaderPair],
+    scheme: bytes = _BEARER,
 ) -> Result[tuple[bytes, ...], BadRequest]:
     """Return the hash of each key in the headers, in order.
 
@@ -32,11 +33,13 @@
     ----------
     pairs
         Values of ``Authorization`` and ``X-Api-Key``, with lower-case names.
+    scheme
+        Scheme of ``Authorization``, in lower case.
 
     """
     hashes: list[bytes] = []
     for name, field in pairs:
-        key = field if name == API_KEY else _read_bearer(field)
+        key = field if name == API_KEY else _read_token(field, scheme)
         if not key:
             return Error(malformed('a key header without a usable key'))
         hashes.append(hash_key(key))
@@ -51,9 +54,9 @@
     return hmac.compare_digest(key_hashes[0].hex().encode(), expected)
 
 
-def _read_bearer(field: bytes) -> bytes:
+def _read_token(field: bytes, expected: bytes) -> bytes:
     scheme, _, key = field.partition(b' ')
-    return key.strip() if scheme.lower() == _BEARER else b''
+    return key.strip() if scheme.lower() == expected else b''
 
 
 __all__ = (
--- a/src/cranberryseam/serving/failures.py
+++ b/src/cranberryseam/serving/failures.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from ..core import commands
+from ..core import commands, documents
 from ..core.errors import Failure, InvalidInput
 from ..core.refusals import Refusal
 from ..fleet import announcements
@@ -51,6 +51,8 @@
         commands.KeyExists: 409,
         commands.NotInitialised: 409,
         commands.VersionConflict: 409,
+        documents.DocumentConflict: 409,
+        documents.DocumentMissing: 404,
         commands.CommandUnsupported: 421,
         commands.NotLeader: 421,
         commands.OutcomeUnknown: 504,
--- a/src/cranberryseam/serving/fields.py
+++ b/src/cranberryseam/serving/fields.py
@@ -63,7 +63,8 @@
     Parameters
     ----------
     named
-        Names listed in the caller's ``Connection`` header.
+        Further names to leave out: those listed in the caller's
+        ``Connection`` header, and those that this proxy sets.
 
     """
     dropped = _REQUEST_DROPPED | named if named else _REQUEST_DROPPED
--- a/src/cranberryseam/serving/framing.py
+++ b/src/cranberryseam/serving/framing.py
@@ -13,8 +13,8 @@
 from ..core.refusals import RefusalReason
 from .asgi import HeaderList, HeaderPair, Scope
 from .credentials import KEY_HEADERS, read_keys
+from .dialect import PRODUCT, Dialect
 from .fields import (
-    CALLER_TIMEOUT,
     CHUNKED,
     CONNECTION,
     CONTENT_LENGTH,
@@ -33,16 +33,13 @@
 _MS_PER_S = 1000
 _UPGRADE = b'upgrade'
 _EXPECT = b'expect'
-_IDEMPOTENCY_KEY = b'idempotency-key'
 _CONTROLS = frozenset(
     (
-        CALLER_TIMEOUT,
         CONNECTION,
         CONTENT_LENGTH,
         HOST,
         TRANSFER_ENCODING,
         _EXPECT,
-        _IDEMPOTENCY_KEY,
         _UPGRADE,
     )
 )
@@ -80,6 +77,7 @@
     timeout_s: float | None
     content_length: int | None
     chunked: bool
+    caller_id: bytes = b''
 
 
 @attrs.frozen
@@ -88,10 +86,11 @@
     content_length: int | None
     chunked: bool
     idempotency_key: str | None
+    caller_id: bytes
 
 
 def check_head(
-    scope: Scope, limits: RequestSettings
+    scope: Scope, limits: RequestSettings, dialect: Dialect = PRODUCT
 ) -> Result[CallHead, BadRequest]:
     """Check the head of a request.
 
@@ -99,6 +98,8 @@
     ----------
     scope
         ASGI scope with lower-case header names.
+    dialect
+        Names of the headers.
 
     """
     method: str = scope['method']
@@ -112,41 +113,53 @@
     problem = _find_bad_header(pairs, limits.most_header_bytes)
     if problem is not None:
         return Error(problem)
-    fields = _collect_fields(pairs)
+    fields = _collect_fields(pairs, dialect)
     host = _read_host(fields)
     if host is None:
         return Error(malformed('Host must appear once as a name or address'))
     return check_target(_join_target(scope), host).bind(
-        lambda target: _check_fields(method, target, host, fields, pairs)
+        lambda target: _Check(dialect, fields, pairs).check(
+            method, target, host
+        )
     )
 
 
-def _check_fields(
-    method: str,
-    target: RequestTarget,
-    host: bytes,
-    fields: _Fields,
-    pairs: HeaderList,
-) -> Result[CallHead, BadRequest]:
-    match read_keys(pair for pair in pairs if pair[0] in KEY_HEADERS):
-        case Result(tag='ok', ok=key_hashes):
-            return _check_controls(fields).map(
-                lambda controls: CallHead(
-                    method=method,
-                    target=target,
-                    host=host,
-                    headers=select_request_headers(
-                        pairs, list_tokens(fields.get(CONNECTION, ()))
-                    ),
-                    key_hashes=key_hashes,
-                    idempotency_key=controls.idempotency_key,
-                    timeout_s=controls.timeout_s,
-                    content_length=controls.content_length,
-                    chunked=controls.chunked,
-                )
+@attrs.frozen
+class _Check:
+    """The checks of the headers of one request."""
+
+    dialect: Dialect
+    fields: _Fields
+    pairs: HeaderList
+
+    def check(
+        self, method: str, target: RequestTarget, host: bytes
+    ) -> Result[CallHead, BadRequest]:
+        """Return the checked head."""
+        keys = read_keys(
+            (pair for pair in self.pairs if pair[0] in KEY_HEADERS),
+            self.dialect.key_scheme,
+        )
+        if keys.is_error():
+            return Error(keys.error)
+        dropped = list_tokens(self.fields.get(CONNECTION, ()))
+        headers = select_request_headers(
+            self.pairs, dropped | self.dialect.set_here
+        )
+        return _check_controls(self.fields, self.dialect).map(
+            lambda controls: CallHead(
+                method=method,
+                target=target,
+                host=host,
+                headers=headers,
+                key_hashes=keys.ok,
+                idempotency_key=controls.idempotency_key,
+                timeout_s=controls.timeout_s,
+                content_length=controls.content_length,
+                chunked=controls.chunked,
+                caller_id=controls.caller_id,
             )
-        case failure:
-            return Error(failure.error)
+        )
 
 
 def _join_target(scope: Scope) -> bytes:
@@ -170,10 +183,15 @@
     return None
 
 
-def _collect_fields(pairs: Iterable[HeaderPair]) -> _Fields:
+def _collect_fields(pairs: Iterable[HeaderPair], dialect: Dialect) -> _Fields:
+    own = {
+        dialect.caller_timeout,
+        dialect.idempotency_key,
+        dialect.caller_id,
+    }
     fields: dict[bytes, list[bytes]] = {}
     for name, field in pairs:
-        if name in _CONTROLS:
+        if name in _CONTROLS or name in own:
             fields.setdefault(name, []).append(field)
     return fields
 
@@ -185,24 +203,28 @@
     return None
 
 
-def _check_controls(fields: _Fields) -> Result[_Controls, BadRequest]:
-    problem = _find_bad_control(fields)
+def _check_controls(
+    fields: _Fields, dialect: Dialect
+) -> Result[_Controls, BadRequest]:
+    problem = _find_bad_control(fields, dialect)
     if problem is not None:
         return Error(problem)
     lengths = fields.get(CONTENT_LENGTH)
-    timeouts = fields.get(CALLER_TIMEOUT)
-    keys = fields.get(_IDEMPOTENCY_KEY)
+    timeouts = fields.get(dialect.caller_timeout)
+    keys = fields.get(dialect.idempotency_key)
+    caller_ids = fields.get(dialect.caller_id)
     return Ok(
         _Controls(
             timeout_s=int(timeouts[0]) / _MS_PER_S if timeouts else None,
             content_length=int(lengths[0]) if lengths else None,
             chunked=TRANSFER_ENCODING in fields,
             idempotency_key=keys[0].decode() if keys else None,
+            caller_id=caller_ids[0] if caller_ids else b'',
         )
     )
 
 
-def _find_bad_control(fields: _Fields) -> BadRequest | None:
+def _find_bad_control(fields: _Fields, dialect: Dialect) -> BadRequest | None:
     if _UPGRADE in fields or not _is_one(fields.get(_EXPECT), _CONTINUE):
         return malformed('Upgrade and Expect other than 100-continue')
     encodings = fields.get(TRANSFER_ENCODING)
@@ -212,10 +234,11 @@
         return malformed('Transfer-Encoding must be chunked')
     if not _is_one(fields.get(CONTENT_LENGTH), _NUMBER):
         return malformed('Content-Length must be one number')
-    timeouts = fields.get(CALLER_TIMEOUT)
+    timeouts = fields.get(dialect.caller_timeout)
     if not _is_one(timeouts, _NUMBER) or timeouts == [b'0']:
-        return malformed('Request-Timeout-Ms must be one positive integer')
-    if not _is_one(fields.get(_IDEMPOTENCY_KEY), _VISIBLE_KEY):
+        name = dialect.caller_timeout.decode()
+        return malformed(f'{name} must be one positive integer')
+    if not _is_one(fields.get(dialect.idempotency_key), _VISIBLE_KEY):
         return BadRequest(
             RefusalReason.idempotency_key_invalid,
             'Idempotency-Key must be 1 to 128 visible ASCII characters, once',
--- a/src/cranberryseam/serving/gateway.py
+++ b/src/cranberryseam/serving/gateway.py
@@ -52,13 +52,14 @@
     read_body,
 )
 from .calls import Call, Ending
+from .dialect import PRODUCT, Dialect
 from .fields import CONNECTION, VIA, describe_forwarding
 from .framing import CallHead, check_head
 from .malformed import BadRequest
 from .problems import send_refusal
 from .upstream import Upstream
 
-READY_PATH = b'/-/ready'
+READY_PATH = PRODUCT.ready_path
 _RESERVED = '/-/'
 _CLOSE = (CONNECTION, b'close')
 
@@ -80,6 +81,8 @@
         Seconds for ``Event.at``.
     count
         Increments a counter by name, for refusals the reducer doesn't see.
+    dialect
+        Names towards callers and targets.
 
     """
 
@@ -89,8 +92,10 @@
         dispatch: Callable[[Event], None],
         clock: Callable[[], float],
         count: Callable[[str], None] = _ignore_count,
+        dialect: Dialect = PRODUCT,
     ) -> None:
         """Start unready and without requests."""
+        self._dialect = dialect
         self._limits = settings.requests
         self._dispatch = dispatch
         self._clock = clock
@@ -102,7 +107,7 @@
         self._calls: dict[RequestId, Call] = {}
         self._upstream = Upstream(clock)
         self._ports = AttemptPorts(
-            self._upstream, dispatch, clock, self._end_attempt
+            self._upstream, dialect, dispatch, clock, self._end_attempt
         )
         self._executors: dict[type[Effect], Callable[[Any], None]] = {
             StartAttempt: self._start_attempt,
@@ -138,7 +143,7 @@
         elif kind == WEBSOCKET:
             self._count_refusal(RefusalReason.malformed_request)
             await refuse_websocket(receive, send)
-        elif scope['raw_path'] == READY_PATH:
+        elif scope['raw_path'] == self._dialect.ready_path:
             await self._answer_health(send)
         else:
             await self._serve_caller(scope, receive, send)
@@ -157,7 +162,7 @@
     async def _serve_caller(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        match check_head(scope, self._limits):
+        match check_head(scope, self._limits, self._dialect):
             case Result(tag='ok', ok=head):
                 await self._admit(head, scope, receive, send)
             case Result(error=problem):
@@ -220,6 +225,7 @@
                     call.send,
                     refusal,
                     closing=not (self._ready and call.body.whole),
+                    dialect=self._dialect,
                 )
             case ReplayAnswer(answer=answer):
                 headers = self._finish_headers(list(answer.headers))
@@ -228,7 +234,9 @@
                 )
             case Ending.broken if not call.answering:
                 unknown = Refusal(RefusalReason.outcome_unknown, Ran.unknown)
-                await send_refusal(call.send, unknown, closing=True)
+                await send_refusal(
+                    call.send, unknown, closing=True, dialect=self._dialect
+                )
             # Otherwise nothing is left to send; the server closes the
             # connection if the answer is not complete.
 
@@ -256,6 +264,7 @@
             Refusal(problem.reason, ran),
             detail=problem.detail,
             closing=True,
+            dialect=self._dialect,
         )
 
     def _count_refusal(self, reason: RefusalReason) -> None:
--- a/src/cranberryseam/serving/problems.py
+++ b/src/cranberryseam/serving/problems.py
@@ -11,6 +11,7 @@
 
 from ..core.refusals import Refusal, RefusalReason
 from .asgi import HeaderList, Send, send_answer
+from .dialect import PRODUCT, Dialect
 
 # Not registered; used by other proxies for a caller that closed first.
 _CALLER_CLOSED = 499
@@ -78,7 +79,12 @@
 
 
 async def send_refusal(
-    send: Send, refusal: Refusal, *, detail: str = '', closing: bool = False
+    send: Send,
+    refusal: Refusal,
+    *,
+    detail: str = '',
+    closing: bool = False,
+    dialect: Dialect = PRODUCT,
 ) -> None:
     """Send a refusal to a caller.
 
@@ -86,10 +92,15 @@
     ----------
     closing
         True if the connection is closed after it.
+    dialect
+        May have other statuses.
 
     """
     reason = refusal.reason
     rendering = RENDERINGS[reason]
+    status = dialect.find_status(refusal)
+    if status is not None:
+        rendering = attrs.evolve(rendering, status=status)
     problem = Problem(
         type=f'urn:cranberryseam:refusal:{reason.value}',
         title=rendering.title,
@@ -98,20 +109,23 @@
         detail=detail,
     )
     body = msgspec.json.encode(problem)
-    headers = _build_headers(refusal, rendering, len(body))
+    headers = _build_headers(refusal, rendering, len(body), dialect)
     if closing:
         headers.append((b'connection', b'close'))
     await send_answer(send, rendering.status, headers, body)
 
 
 def _build_headers(
-    refusal: Refusal, rendering: Rendering, length: int
+    refusal: Refusal, rendering: Rendering, length: int, dialect: Dialect
 ) -> HeaderList:
     headers = [PROBLEM_TYPE, (b'content-length', b'%d' % length)]
     if refusal.retry_after_s is not None:
         # Rounded up, since an early retry would be refused again.
-        seconds = max(0, math.ceil(refusal.retry_after_s))
-        headers.append((b'retry-after', b'%d' % seconds))
+        seconds = max(0, refusal.retry_after_s)
+        field = b'%.2f' % seconds
+        if not dialect.fractions:
+            field = b'%d' % math.ceil(seconds)
+        headers.append((b'retry-after', field))
     if rendering.status == HTTPStatus.UNAUTHORIZED:
         headers.append(_CHALLENGE)
     return headers
--- a/src/cranberryseam/serving/upstream.py
+++ b/src/cranberryseam/serving/upstream.py
@@ -17,8 +17,9 @@
 
 Address: TypeAlias = tuple[str, int]
 
-# Leaves room for one repeated SYN, which TCP sends after one second.
-CONNECT_TIMEOUT_S = 1.5
+# Several round trips between regions. TCP repeats a lost SYN after a second;
+# nothing was sent until then, so another target is tried sooner.
+CONNECT_TIMEOUT_S = 0.4
 # Below the keep-alive time of common servers (5 s), so that this side closes
 # first and a request rarely meets a connection that the target is closing.
 _IDLE_S = 4.0
@@ -42,12 +43,20 @@
 
 @attrs.frozen
 class Outgoing:
-    """A request as a target gets it, without ``Host``."""
+    """A request as a target gets it.
+
+    Parameters
+    ----------
+    host
+        Value of ``Host``; empty means the address of the target.
+
+    """
 
     method: str
     target: bytes
     headers: HeaderList
     body: httpx.AsyncByteStream
+    host: bytes = b''
 
 
 @attrs.define(eq=False)
@@ -80,7 +89,7 @@
         request = httpx.Request(
             outgoing.method,
             url,
-            headers=[(HOST, host), *outgoing.headers],
+            headers=[(HOST, outgoing.host or host), *outgoing.headers],
             stream=outgoing.body,
             extensions={
                 'target': outgoing.target,
--- a/src/cranberryseam/types.py
+++ b/src/cranberryseam/types.py
@@ -41,11 +41,34 @@
         """
 
 
+class Owners(Protocol):
+    """Who owns the shared state of a shard key, such as an account."""
+
+    def group_of(self, region: str, shard_key: str) -> str:
+        """Return the group of a key, empty in a region without groups."""
+
+    def leader_of_group(self, group: str) -> VmId | None:
+        """Return the last known leader of a group."""
+
+    def term_of(self, group: str, at: float) -> int | None:
+        """Return the term in which this VM leads, None if it doesn't."""
+
+    def leads_since(self, group: str) -> float:
+        """Return when this VM began to lead the group that it leads."""
+
+    def ask_leader(self, group: str, at: float) -> list[Output]:
+        """Ask a group for its leader, after its last one was silent."""
+
+    def tell_leader(self, group: str, to: VmId) -> list[Output]:
+        """Tell a VM who leads, after it took this one for the leader."""
+
+
 __all__ = (
     'AccountId',
     'AttemptId',
     'KeyId',
     'Output',
+    'Owners',
     'Part',
     'RegionName',
     'RequestId',
