Send configurations as differences; keep serving without an owner of limits

Ruled out: a full token cache per VM (a restart would grant a second burst).

Tests: tests/attachment runs whole reducers: formation, lost disks, documents, freshness of keys, departures.

--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -134,7 +134,7 @@
             attachment.CLIENT_PART,
             attached,
             messages=attachment.MESSAGES,
-            inputs=_LIFECYCLE,
+            inputs=(*_LIFECYCLE, ev.SeedsChanged),
         ),
         _register_keys(keys),
         _register_limits(limiter),
@@ -208,6 +208,7 @@
         ),
         inputs=(
             *_LIFECYCLE,
+            ev.SeedsChanged,
             ev.StorageSynced,
             nt.KeysWithdrawn,
             nt.DepartureReported,
--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -7,8 +7,8 @@
 from collections.abc import Mapping
 from typing import Final
 
+from ..configuration.model import Configuration
 from ..configuration.settings import Settings
-from ..control.machine import restore_configuration
 from ..core.effects import (
     Effect,
     IncrementCounter,
@@ -16,7 +16,13 @@
     SetTimer,
     WriteLog,
 )
-from ..core.events import Event, MessageReceived, Started, TimerFired
+from ..core.events import (
+    Event,
+    MessageReceived,
+    SeedsChanged,
+    Started,
+    TimerFired,
+)
 from ..core.notices import (
     ConfigurationChanged,
     LeadershipChanged,
@@ -25,6 +31,7 @@
     TargetChanged,
 )
 from ..types import Output, TargetId, VmId
+from .content import apply_content
 from .messages import LeaderHint, Poll, PollReply, TargetRow
 
 PART: Final = 'attachment'
@@ -56,15 +63,17 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         """Start without a leader."""
         self.leader: VmId | None = None
-        self.content_version = 0
+        self.vm_count = 0
         self.rows: dict[TargetId, TargetRow] = {}
         self._vm = settings.vm_id
         self._region = settings.vm.region
         self._rng = rng
         self._seeds = settings.control.seeds
+        self._configuration = Configuration()
         self._members: tuple[str, ...] = ()
+        self._members_index = 0
         self._term = 0
-        self._table = ''
+        self._table_term = 0
         self._position = 0
         self._replied_at = float('-inf')
         self._polled_at: dict[str, float] = {}
@@ -83,6 +92,8 @@
                 return [SetTimer(PART, _TIMER, first)]
             case TimerFired():
                 return self._tick(event.at)
+            case SeedsChanged(seeds=seeds):
+                self._seeds = seeds
             case MessageReceived(sender=sender, message=PollReply() as reply):
                 return self._take_reply(sender, reply, event.at)
             case MessageReceived(message=LeaderHint() as hint):
@@ -125,7 +136,13 @@
 
     def _poll(self, vm: VmId, at: float) -> Effect:
         self._polled_at[vm] = at
-        poll = Poll(at, self.content_version, self._table, self._position)
+        poll = Poll(
+            at,
+            self._configuration.content_version,
+            self._table_term,
+            self._position,
+            self._members_index,
+        )
         return SendMessage(vm, poll)
 
     def _take_hint(self, hint: LeaderHint, at: float) -> list[Output]:
@@ -142,7 +159,10 @@
         if reply.term < self._term:
             return []
         self._term = reply.term
-        self._members = reply.members
+        if reply.members:
+            self._members = reply.members
+            self._members_index = reply.members_index
+        self.vm_count = reply.vm_count
         self._replied_at = max(self._replied_at, reply.sent_at)
         proven_at = reply.sent_at - reply.age_s
         outputs: list[Output] = [
@@ -163,30 +183,31 @@
         return outputs
 
     def _take_configuration(self, reply: PollReply, at: float) -> list[Output]:
-        stored = reply.configuration
-        if stored is None or stored.content_version <= self.content_version:
+        if reply.content is None:
             return []
-        self.content_version = stored.content_version
-        configuration = restore_configuration(stored)
-        document = configuration.document
+        newer = apply_content(self._configuration, reply.content)
+        if newer is None:
+            return [IncrementCounter('attachment.content_outdated')]
+        self._configuration = newer
+        document = newer.document
+        fields = {
+            'content_version': newer.content_version,
+            'document': document.version if document else 0,
+            'routes': len(newer.routes),
+            'accounts': len(newer.accounts),
+        }
         return [
-            ConfigurationChanged(at, configuration),
-            WriteLog(
-                logging.INFO,
-                'configuration in force',
-                {
-                    'version': stored.version,
-                    'document': document.version if document else 0,
-                },
-            ),
+            ConfigurationChanged(at, newer),
+            WriteLog(logging.INFO, 'configuration in force', fields),
         ]
 
     def _take_rows(self, reply: PollReply, at: float) -> list[Output]:
-        if reply.table != self._table and not reply.whole:
+        same_table = reply.term == self._table_term
+        if not (same_table or reply.whole):
             return []
-        if reply.table == self._table and reply.position < self._position:
+        if same_table and reply.position < self._position:
             return []
-        self._table = reply.table
+        self._table_term = reply.term
         self._position = reply.position
         if reply.whole:
             known = {row.announcement.target for row in reply.rows}
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -8,7 +8,6 @@
 import attrs
 
 from ..configuration.entries import TargetDeparted
-from ..control.machine import store_configuration
 from ..control.replica import Authority
 from ..core.commands import OutcomeUnknown
 from ..core.effects import (
@@ -35,6 +34,7 @@
     SnapshotInstalled,
 )
 from ..types import Output, TargetId, VmId
+from .content import ContentSource
 from .messages import (
     AnnouncementTaken,
     LeaderHint,
@@ -69,6 +69,10 @@
     def find_authority(self) -> Authority | None:
         """Return what it may say as the leader."""
 
+    @property
+    def members_index(self) -> int:
+        """Number of the list of replicas, above 0."""
+
     def list_members(self) -> tuple[VmId, ...]:
         """Return the VMs of all replicas."""
 
@@ -130,6 +134,7 @@
         self._departed: set[_Departure] = set()
         self._waiting: dict[_Departure, list[_Waiter]] = {}
         self._polled_at: dict[VmId, float] = {}
+        self._source = ContentSource()
 
     def handle(self, event: Event | Notice) -> Sequence[Output]:
         """Apply one event or notice; see ``Part``."""
@@ -206,19 +211,8 @@
             leader = self._replica.leader_vm
             hint = '' if leader in {None, self._vm} else str(leader)
             return LeaderHint(hint, self._replica.list_members())
-        configuration = authority.configuration
-        stored = None
-        if configuration.content_version > poll.content_version:
-            stored = store_configuration(
-                attrs.evolve(
-                    configuration,
-                    departed=(),
-                    document=configuration.document
-                    and attrs.evolve(configuration.document, raw=b''),
-                )
-            )
-        table = f'{self._vm}/{self._term}'
-        whole = poll.table != table
+        # A table belongs to one term; positions of another mean nothing.
+        whole = poll.term != self._term
         after = 0 if whole else poll.position
         rows: tuple[TargetRow, ...] = ()
         if after < self._position:
@@ -227,16 +221,21 @@
                 for entry in self._entries.values()
                 if entry.position > after
             )
+        members = self._replica.list_members()
+        index = self._replica.members_index
         return PollReply(
             sent_at=poll.sent_at,
             age_s=max(0, at - authority.confirmed_at),
             term=self._term,
-            members=self._replica.list_members(),
-            table=table,
             position=self._position,
+            members_index=index,
+            vm_count=len(self._polled_at),
+            members=() if poll.members_index == index else members,
             rows=rows,
             whole=whole,
-            configuration=stored,
+            content=self._source.find(
+                authority.configuration, poll.content_version
+            ),
         )
 
     def _pass_on(self, event: TargetAnnounced) -> list[Output]:
--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ..control.records import StoredConfiguration
 from ..core.events import Announcement
 from ..core.messages import Message
+from .content import ContentDelta, WholeContent
 
 _POLL_TAG = 700
 _POLL_REPLY_TAG = 701
@@ -38,15 +38,18 @@
         Clock of the sender, returned in the reply.
     content_version
         Version of the configuration that the sender has.
-    table, position
-        Table of targets that the sender has, and how far.
+    term, position
+        Leader's term whose table of targets the sender has, and how far.
+    members_index
+        Which list of control replicas it has.
 
     """
 
     sent_at: float
     content_version: int
-    table: str
+    term: int
     position: int
+    members_index: int
 
 
 class PollReply(Message, frozen=True, array_like=True, tag=_POLL_REPLY_TAG):
@@ -56,10 +59,12 @@
     ----------
     age_s
         Age of the newest proof that a quorum follows the leader.
-    members
-        VMs of the control replicas.
-    configuration
-        The one in force, if the sender has an older one.
+    members_index, members
+        VMs of the control replicas, left out if the sender has them.
+    vm_count
+        VMs that poll the leader.
+    content
+        What the sender lacks of the configuration in force.
     whole
         True if ``rows`` are all targets, not only the changed ones.
 
@@ -68,12 +73,13 @@
     sent_at: float
     age_s: float
     term: int
-    members: tuple[str, ...]
-    table: str
     position: int
+    members_index: int
+    vm_count: int
+    members: tuple[str, ...] = ()
     rows: tuple[TargetRow, ...] = ()
     whole: bool = False
-    configuration: StoredConfiguration | None = None
+    content: ContentDelta | WholeContent | None = None
 
 
 class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
--- a/src/cranberryseam/attachment/owners.py
+++ b/src/cranberryseam/attachment/owners.py
@@ -42,6 +42,7 @@
         self._attachment = attachment
         self._replica = replica
         self._term = 0
+        self._last_term = 0
         self._since = float('-inf')
 
     def group_of(self, region: str, shard_key: str) -> str:
@@ -64,16 +65,25 @@
         """Return the term in which this VM leads, None if it doesn't."""
         authority = self._replica and self._replica.find_authority()
         if not authority or at - authority.confirmed_at > UNPROVEN_S:
+            self._term = 0
             return None
         if authority.term != self._term:
+            # After a gap in the proof another VM may have led meanwhile.
+            first = authority.term != self._last_term
             self._term = authority.term
-            self._since = at
+            self._last_term = authority.term
+            self._since = authority.since if first else at
         return authority.term
 
     def leads_since(self, group: str) -> float:
         """Return when this VM first led in the term it leads."""
         return self._since
 
+    def share_of_vm(self) -> float:
+        """Return an equal part of the whole for each attached VM."""
+        count = self._attachment.vm_count
+        return 1 / count if count else 0
+
     def ask_leader(self, group: str, at: float) -> list[Output]:
         """Ask nothing: the attachment looks for the leader all the time."""
         return []
--- a/src/cranberryseam/control/admissions.py
+++ b/src/cranberryseam/control/admissions.py
@@ -49,7 +49,7 @@
     def __init__(self, context: Context, settings: ControlSettings) -> None:
         """Start without candidates."""
         self._context = context
-        self._seeds = settings.seeds
+        self.seeds = settings.seeds
         self._forms = settings.forms and context.vm in settings.seeds
         self._size = 2 * settings.most_lost + 1
         self._candidates: dict[str, _Candidate] = {}
@@ -67,7 +67,7 @@
             return
         members = {each.vm for each in context.log.membership.members}
         request = JoinAsked(context.vm, context.disk)
-        for vm in sorted({*self._seeds, *members} - {context.vm}):
+        for vm in sorted({*self.seeds, *members} - {context.vm}):
             context.send(vm, request)
 
     def receive(self, request: JoinAsked, *, leads: bool) -> None:
--- a/src/cranberryseam/control/leader.py
+++ b/src/cranberryseam/control/leader.py
@@ -50,6 +50,7 @@
         """Log a record of the new term, which commits all earlier ones."""
         self._context = context
         self.term = context.term
+        self.since = context.at
         self.tail = context.machine.copy()
         for index in range(context.commit + 1, context.log.last_index + 1):
             self.tail.apply(context.log.record_at(index))
--- a/src/cranberryseam/control/replica.py
+++ b/src/cranberryseam/control/replica.py
@@ -28,6 +28,7 @@
     CommandReceived,
     Event,
     MessageReceived,
+    SeedsChanged,
     Started,
     StopRequested,
     StorageSynced,
@@ -60,6 +61,8 @@
 
     Parameters
     ----------
+    since
+        Time of the election.
     confirmed_at
         Newest time at which a quorum followed this leader.
     configuration
@@ -68,6 +71,7 @@
     """
 
     term: int
+    since: float
     confirmed_at: float
     configuration: Configuration
 
@@ -121,10 +125,16 @@
             return None
         return Authority(
             self._leader.term,
+            self._leader.since,
             self._leader.confirmed_at(),
             self._context.machine.configuration,
         )
 
+    @property
+    def members_index(self) -> int:
+        """Number of the list of members, above 0."""
+        return self._context.log.membership_index + 1
+
     def list_members(self) -> tuple[VmId, ...]:
         """Return the VMs of the members, learners included."""
         members = self._context.log.membership.members
@@ -150,6 +160,8 @@
             case DepartureReported(target=target, born_ms=born_ms):
                 if self._leader is not None:
                     self._leader.propose(TargetDeparted(target, born_ms))
+            case SeedsChanged(seeds=seeds):
+                self._admissions.seeds = seeds
             case StopRequested():
                 self._stop()
         self._settle()
--- a/src/cranberryseam/control/storage.py
+++ b/src/cranberryseam/control/storage.py
@@ -183,8 +183,14 @@
         self._log_fd = os.open(self._folder / _LOG, os.O_WRONLY | os.O_APPEND)
 
     def _append(self, batch: _Batch) -> None:
-        _write_all(self._log_fd, _encode(batch))
-        os.fsync(self._log_fd)
+        whole_bytes = os.fstat(self._log_fd).st_size
+        try:
+            _write_all(self._log_fd, _encode(batch))
+            os.fsync(self._log_fd)
+        except OSError:
+            # A part of the batch would stand before its next try.
+            os.ftruncate(self._log_fd, whole_bytes)
+            raise
 
     def _save_snapshot(self, effect: SaveSnapshot) -> None:
         self._replace('snapshot', _encode(effect.snapshot))
--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -94,6 +94,13 @@
     """The process was asked to drain and stop (SIGTERM)."""
 
 
+@attrs.frozen
+class SeedsChanged(Event):
+    """The settings name other VMs at which control replicas may be found."""
+
+    seeds: tuple[str, ...]
+
+
 @attrs.frozen
 class CommandReceived(Event):
     """An operator's command from the administration API."""
@@ -291,6 +298,7 @@
     'PauseSuspected',
     'RequestArrived',
     'RequestHead',
+    'SeedsChanged',
     'Started',
     'StopRequested',
     'StorageSynced',
--- a/src/cranberryseam/daemon/program.py
+++ b/src/cranberryseam/daemon/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import secrets
 import signal
 import time
@@ -18,7 +19,12 @@
 from ..control import Storage, StorageEffect, StoredState, open_storage
 from ..core.effects import Effect
 from ..core.errors import Failure
-from ..core.events import Started, StopRequested, StorageSynced
+from ..core.events import (
+    SeedsChanged,
+    Started,
+    StopRequested,
+    StorageSynced,
+)
 from ..types import VmId
 from .clock import Clock
 from .executor import Executor
@@ -28,6 +34,12 @@
 from .timers import Timers
 
 _SEED_BITS = 63
+# The settings may also change without a signal.
+RELOAD_S = 5.0
+# A disk that fails is tried again after this; meanwhile nothing that waits for
+# it is promised to anybody.
+RETRY_DISK_S = 0.5
+_logger = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -38,10 +50,13 @@
     stored: StoredState
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Program:
     """Everything that one process runs."""
 
+    interfaces: Interfaces
+    seeds: tuple[str, ...]
+
     clock: Clock
     executor: Executor
     metrics: Metrics
@@ -73,6 +88,7 @@
                 self.peers.receive, self.clock.read, self.executor.dispatch
             )
             tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._watch_settings)
             if self.storage is not None:
                 tasks.start_soon(self.storage.run)
             self.executor.dispatch(Started(self.clock.read(), time.time()))
@@ -82,10 +98,37 @@
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as received:
-            async for _ in received:
-                self.executor.dispatch(StopRequested(self.clock.read()))
+            async for number in received:
+                _logger.info('signal', extra={'fields': {'number': number}})
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self.executor.dispatch(StopRequested(self.clock.read()))
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await anyio.sleep(RELOAD_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Take over the settings that may change while the process runs."""
+        settings = self.interfaces.reload()
+        if settings is None:
+            return
+        if settings.is_error():
+            _logger.error(
+                'settings are unusable and stay as they were',
+                extra={'fields': {'failure': str(settings.error)}},
+            )
+            return
+        seeds = settings.ok.control.seeds
+        if seeds != self.seeds:
+            self.seeds = seeds
+            fields = {'seeds': seeds}
+            _logger.info('seeds changed', extra={'fields': fields})
+            self.executor.dispatch(SeedsChanged(self.clock.read(), seeds))
 
 
 @contextmanager
@@ -160,6 +203,8 @@
         settings, executor.dispatch, clock.read, metrics, interfaces
     )
     program = Program(
+        interfaces,
+        settings.control.seeds,
         clock,
         executor,
         metrics,
@@ -202,14 +247,25 @@
             self._changed = anyio.Event()
             while self._effects:
                 effect = self._effects.popleft()
-                sync_id = await anyio.to_thread.run_sync(
+                sync_id = await self._write(effect)
+                if sync_id is not None:
+                    self.executor.dispatch(
+                        StorageSynced(self.clock.read(), sync_id)
+                    )
+
+    async def _write(self, effect: Effect) -> int | None:
+        """Write an effect, again and again while the disk refuses it."""
+        while True:
+            try:
+                return await anyio.to_thread.run_sync(
                     self.storage.execute, effect
                 )
-                self._report(sync_id)
-
-    def _report(self, sync_id: int | None) -> None:
-        if sync_id is not None:
-            self.executor.dispatch(StorageSynced(self.clock.read(), sync_id))
+            except OSError as error:
+                _logger.error(
+                    'disk refused a write',
+                    extra={'fields': {'failure': str(error)}},
+                )
+            await anyio.sleep(RETRY_DISK_S)
 
 
 __all__ = ('Program', 'open_program')
--- a/src/cranberryseam/daemon/servers.py
+++ b/src/cranberryseam/daemon/servers.py
@@ -8,8 +8,10 @@
 
 import anyio
 import attrs
+from expression import Result
 
 from ..configuration.settings import Settings
+from ..core.errors import Failure
 from ..core.events import Event
 from ..serving.admin import AdminApi
 from ..serving.announcements import AnnouncementApi
@@ -21,6 +23,10 @@
 from .metrics import Metrics
 
 
+def _keep_settings() -> None:
+    """Read nothing."""
+
+
 class OutsideFactory(Protocol):
     """Builds the interface that a platform adapter adds to a process."""
 
@@ -38,11 +44,14 @@
         Names towards callers and targets.
     build_outside
         Builds the application for ``addresses.outside``.
+    reload
+        Reads the settings again; None if they can't change.
 
     """
 
     dialect: Dialect = PRODUCT
     build_outside: OutsideFactory | None = None
+    reload: Callable[[], Result[Settings, Failure] | None] = _keep_settings
 
 
 PRODUCT_INTERFACES: Final = Interfaces()
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -14,9 +14,12 @@
 from .cache import Ask, CachedAccount, Lease
 from .messages import LeaseReport, TokensAsked, TokensGiven, TokensReported
 from .owner import Verdict
-from .shares import choose_region
+from .shares import choose_region, find_limit
+from .spare import SpareTokens
 
 if TYPE_CHECKING:
+    import random
+
     from ..configuration.model import Configuration
     from ..configuration.settings import Settings
     from ..types import Output, Owners
@@ -48,8 +51,11 @@
 class TokenClient:
     """Tokens of this VM: cached leases, asks and waiting requests."""
 
-    def __init__(self, settings: Settings, ownership: Owners) -> None:
+    def __init__(
+        self, settings: Settings, ownership: Owners, rng: random.Random
+    ) -> None:
         """Start without tokens."""
+        self._spare = SpareTokens(rng)
         self.run = 0
         self.configuration: Configuration | None = None
         self._region = settings.vm.region
@@ -80,7 +86,7 @@
         self._make_room(at)
         cached = self._accounts.setdefault(account, CachedAccount())
         cached.count_use(at)
-        if cached.use_token(at):
+        if cached.use_token(at) or self._replace_owner(group, account, at):
             return [
                 TokenGranted(at, request_id),
                 *self._ask(account, cached, group, at),
@@ -156,7 +162,10 @@
             if at + _WAIT_CHECK_S <= waiting.until:
                 break
             self.cancel(request_id)
-            outputs.append(_deny_unreachable(request_id, at))
+            if self._use_spare(waiting.account, at):
+                outputs.append(TokenGranted(at, request_id))
+            else:
+                outputs.append(_deny_unreachable(request_id, at))
         return [*outputs, *self._set_wait_timer(at)]
 
     def check_leases(self, at: float) -> list[Output]:
@@ -252,13 +261,32 @@
             cached.denied_until = at + max(0, remembered_s)
         if given.wait_s < 0:
             wait_s = None
+        away = given.verdict == Verdict.not_ready
         outputs: list[Output] = []
         while len(cached.waiting) > cached.asked:
             request_id = cached.waiting.pop(0)
-            self._waiting.pop(request_id)
-            outputs.append(_deny(request_id, reason, at, wait_s))
+            account = self._waiting.pop(request_id).account
+            output = _deny(request_id, reason, at, wait_s)
+            if away and self._use_spare(account, at):
+                output = TokenGranted(at, request_id)
+            outputs.append(output)
         return outputs
 
+    def _replace_owner(self, group: str, account: str, at: float) -> bool:
+        """Use a spare token if the group has no owner."""
+        if self._ownership.leader_of_group(group) is not None:
+            return False
+        return self._use_spare(account, at)
+
+    def _use_spare(self, account: str, at: float) -> bool:
+        share = self._ownership.share_of_vm()
+        if not share or self.configuration is None:
+            return False
+        limit = find_limit(
+            self.configuration, account, self._region, self._regions
+        )
+        return limit is not None and self._spare.take(account, limit, share, at)
+
     def _close_leases(self, account: str, group: str, at: float) -> None:
         for lease in self._accounts[account].close_leases(at):
             # A used single token expires soon enough without a message.
--- a/src/cranberryseam/limits/part.py
+++ b/src/cranberryseam/limits/part.py
@@ -55,7 +55,7 @@
         self._vm = settings.vm_id
         self._ownership = ownership
         self._rng = rng
-        self._client = TokenClient(settings, ownership)
+        self._client = TokenClient(settings, ownership, rng)
         self._owner = BucketOwner(settings, ownership)
 
     def handle(self, event: Event | Notice) -> list[Output]:
--- a/src/cranberryseam/ownership/part.py
+++ b/src/cranberryseam/ownership/part.py
@@ -105,6 +105,10 @@
             group.name for group in self._groups.list_groups_with(self._vm)
         )
 
+    def share_of_vm(self) -> float:
+        """Return nothing: without an owner the limit can't be counted."""
+        return 0
+
     def ask_leader(self, group: str, at: float) -> list[Output]:
         """Ask a group for its leader, after its last one was silent.
 
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -73,7 +73,7 @@
         self.state.lane(self.request.lane).count_end()
         if outcome is AttemptOutcome.rejected:
             return
-        slow = self._is_slow(at, took_s)
+        slow = self.is_slow(at, took_s)
         if outcome is AttemptOutcome.cancelled:
             if slow:
                 self._count(outcome, at, failed=False, slow=True)
@@ -85,7 +85,8 @@
             lane.latency.record(at, took_s)
         self._count(outcome, at, failed=failed, slow=slow)
 
-    def _is_slow(self, at: float, took_s: float) -> bool:
+    def is_slow(self, at: float, took_s: float) -> bool:
+        """Return whether the attempt took several times the usual time."""
         far = self.target.distance == _FAR
         return self.state.is_slow(at, self.request.lane, far, took_s)
 
--- a/src/cranberryseam/routing/health.py
+++ b/src/cranberryseam/routing/health.py
@@ -54,7 +54,6 @@
     {
         AttemptOutcome.succeeded: Evidence.success,
         AttemptOutcome.failed: Evidence.failure,
-        AttemptOutcome.timed_out: Evidence.silence,
         AttemptOutcome.not_connected: Evidence.silence,
     }
 )
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -26,8 +26,10 @@
 )
 from ..core.refusals import RefusalReason
 from .admission import Admission
+from .attempts import Assignment
 from .budgets import RetryBudgets
 from .display import show_targets
+from .health import Evidence, classify_evidence
 from .leading import DECIDE, Leading
 from .messages import HealthSeen, HealthTold, OutcomeReport, ServiceView
 from .model import (
@@ -59,6 +61,7 @@
 TICK = 'tick'
 _ACCOUNT_DECAY_S = 10.0
 _NO_TARGET_RETRY_S = 1.0
+_CUT_SHORT = frozenset((AttemptOutcome.timed_out, AttemptOutcome.cancelled))
 _HEDGE_SAMPLES = 50
 _HEDGE_SHARE = 0.95
 
@@ -178,7 +181,7 @@
         if took_s is None:
             took_s = at - assignment.started_at
         assignment.learn(outcome, at, took_s, self._rng)
-        outputs = self._share_health(assignment.target, outcome, at)
+        outputs = self._share_health(assignment, outcome, at, took_s)
         if outcome is AttemptOutcome.succeeded:
             request = assignment.request
             self._budgets.credit(request.service, request.account, at)
@@ -236,11 +239,23 @@
         return frozenset(state.ejected)
 
     def _share_health(
-        self, target: Target, outcome: AttemptOutcome, at: float
+        self,
+        assignment: Assignment,
+        outcome: AttemptOutcome,
+        at: float,
+        took_s: float,
     ) -> list[Output]:
         if not self._tuning.beliefs:
             return []
-        return self._deliver(self._sharing.note(target, outcome, at), at)
+        evidence = classify_evidence(outcome)
+        if outcome in _CUT_SHORT:
+            # A short deadline says nothing about the target.
+            slow = assignment.is_slow(at, took_s)
+            evidence = Evidence.silence if slow else None
+        if evidence is None:
+            return []
+        shared = self._sharing.note(assignment.target, evidence, at)
+        return self._deliver(shared, at)
 
     def _start(self, at: float) -> list[Output]:
         self._started_at = at
--- a/src/cranberryseam/routing/sharing.py
+++ b/src/cranberryseam/routing/sharing.py
@@ -7,18 +7,13 @@
 import attrs
 
 from ..core.effects import SendMessage, SetTimer
-from .health import (
-    Belief,
-    Evidence,
-    classify_evidence,
-)
+from .health import Belief, Evidence
 from .leading import shard_key
 from .messages import HealthSeen, HealthTold
 from .model import PART, Leaders
 
 if TYPE_CHECKING:
     from ..types import Output, VmId
-    from .model import AttemptOutcome
     from .target import Target
 
 TELL: Final = 'tell'
@@ -84,12 +79,9 @@
         self._vms.discard(vm)
 
     def note(
-        self, target: Target, outcome: AttemptOutcome, at: float
+        self, target: Target, evidence: Evidence, at: float
     ) -> list[Output]:
         """Learn an outcome, and report it if it may change a choice."""
-        evidence = classify_evidence(outcome)
-        if evidence is None:
-            return []
         remarkable = target.belief.is_remarkable(at)
         target.belief.learn(evidence, at)
         target.path.learn(evidence, at)
--- a/src/cranberryseam/serving/upstream.py
+++ b/src/cranberryseam/serving/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import re
 import ssl
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
@@ -23,6 +24,11 @@
 # Below the keep-alive time of common servers (5 s), so that this side closes
 # first and a request rarely meets a connection that the target is closing.
 _IDLE_S = 4.0
+# Part of the idle time that a target states which is left for a request on
+# its way to it.
+_IDLE_MARGIN_S = 2.0
+_LONGEST_IDLE_S = 60.0
+_KEEP_ALIVE = re.compile(rb'(?:^|[ ,])timeout=(\d{1,5})')
 # More than the targets that one VM sends to.
 _REMEMBERED_ADDRESSES = 16_384
 _TIMEOUTS = MappingProxyType({'connect': CONNECT_TIMEOUT_S})
@@ -67,12 +73,26 @@
     ----------
     transport
         Holds at most one connection and opens another when that was closed.
+    idle_until
+        Time until which it may be used again.
+    kept_s
+        Time for which it may stay idle.
 
     """
 
     address: Address
     transport: httpx.AsyncHTTPTransport
-    idle_since: float = 0
+    idle_until: float = 0
+    kept_s: float = _IDLE_S
+
+    def learn_idle_time(self, headers: HeaderList) -> None:
+        """Take over how long the target keeps idle connections."""
+        for name, field in headers:
+            if name.lower() == b'keep-alive':
+                found = _KEEP_ALIVE.search(field)
+                stated_s = float(found[1]) if found else 0
+                kept_s = max(0, stated_s - _IDLE_MARGIN_S)
+                self.kept_s = min(_LONGEST_IDLE_S, kept_s)
 
     async def send(
         self, outgoing: Outgoing, trace: WriteTrace
@@ -97,7 +117,9 @@
                 'timeout': _TIMEOUTS,
             },
         )
-        return await self.transport.handle_async_request(request)
+        response = await self.transport.handle_async_request(request)
+        self.learn_idle_time(response.headers.raw)
+        return response
 
 
 class Upstream:
@@ -121,7 +143,7 @@
     def take(self, address: Address) -> TargetConnection:
         """Return an idle connection to an address, or a new one."""
         connections = self._idle.get(address)
-        if connections and self._clock() - connections[-1].idle_since < _IDLE_S:
+        if connections and self._clock() < connections[-1].idle_until:
             return connections.pop()
         # If the last used one is too old, so are all others; ``sweep``
         # closes them.
@@ -129,7 +151,7 @@
 
     def put_back(self, connection: TargetConnection) -> None:
         """Keep a connection whose last answer was read to its end."""
-        connection.idle_since = self._clock()
+        connection.idle_until = self._clock() + connection.kept_s
         self._idle.setdefault(connection.address, []).append(connection)
         if self._sweep is None:
             loop = asyncio.get_running_loop()
@@ -137,13 +159,13 @@
 
     async def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
-        oldest = self._clock() - _IDLE_S
+        now = self._clock()
         closing: list[TargetConnection] = []
         for address, connections in tuple(self._idle.items()):
             kept = [
                 connection
                 for connection in connections
-                if connection.idle_since > oldest
+                if connection.idle_until > now
             ]
             closing.extend(
                 connection
--- a/src/cranberryseam/types.py
+++ b/src/cranberryseam/types.py
@@ -56,6 +56,9 @@
     def leads_since(self, group: str) -> float:
         """Return when this VM began to lead the group that it leads."""
 
+    def share_of_vm(self) -> float:
+        """Return the part of a limit for this VM while no owner answers."""
+
     def ask_leader(self, group: str, at: float) -> list[Output]:
         """Ask a group for its leader, after its last one was silent."""
 
--- /dev/null
+++ b/tests/attachment/test_fleet.py
@@ -0,0 +1,220 @@
+"""Whole fleets that find each other through seeds, under failures."""
+
+from __future__ import annotations
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from cranberryseam.core import events as ev
+from cranberryseam.core.commands import CommandAnswer
+from cranberryseam.core.documents import DocumentConflict, ReadDocument
+
+from .attached_fleet import (
+    CONTROL,
+    ENTRIES,
+    evolve,
+    make_announcement,
+    make_document,
+    run_fleet,
+)
+
+# An order must be in force everywhere this long after its acknowledgement.
+APPLIED_S = 2.5
+# A withdrawn key must not work after this.
+WITHDRAWN_S = 5.0
+# A departed target gets no work after this.
+DRAINED_S = 2.5
+# A control VM that is replaced counts again after this.
+CATCH_UP_S = 4.0
+LEAVING = ev.TargetState.draining
+
+
+class FormationTest(TestCase):
+    """The log forms once, by itself, and grows to what losses need."""
+
+    @parameterized.expand([(seed,) for seed in range(5)])
+    def test_grows_to_five(self, seed: int) -> None:
+        """Guards against a log of the seeds only, which two losses end."""
+        with run_fleet(seed) as fleet:
+            self.assertEqual(fleet.count_voters(), 5)
+
+    @parameterized.expand([(name,) for name in CONTROL])
+    def test_lost_disk_is_replaced(self, name: str) -> None:
+        """Guards against a VM without its disk that stays out, or votes."""
+        with run_fleet() as fleet:
+            fleet.kill(name)
+            fleet.lose_disk(name)
+            fleet.restart(name)
+            fleet.run(CATCH_UP_S)
+            self.assertEqual(fleet.count_voters(), 5)
+            self.assertEqual(fleet.read().version, 1)
+
+    def test_new_address_takes_the_place_of_a_lost_vm(self) -> None:
+        """Guards against a replacement that only the old address could be."""
+        with run_fleet() as fleet:
+            lost = next(name for name in CONTROL if name != fleet.leader())
+            fleet.kill(lost)
+            fleet.restart('c6')
+            fleet.run(8)
+            replica = fleet.runs[fleet.leader()].node._by_timer['control']
+            self.assertIn('c6', replica.list_members())
+            self.assertNotIn(lost, replica.list_members())
+
+
+class DocumentTest(TestCase):
+    """Documents: the highest version wins and never reverts."""
+
+    def test_versions(self) -> None:
+        """Guards against an older or other document put in force."""
+        second = make_document(5, ('asha', 'juma'))
+        cases = (
+            (second, CommandAnswer, 5),
+            (second, CommandAnswer, 5),
+            (evolve(second, b'other'), DocumentConflict, 5),
+            (make_document(3), CommandAnswer, 5),
+            (make_document(9), CommandAnswer, 9),
+        )
+        with run_fleet() as fleet:
+            for document, expected, in_force in cases:
+                self.assertIsInstance(fleet.put(document), expected)
+                self.assertEqual(fleet.read().version, in_force)
+
+    def test_in_force_everywhere(self) -> None:
+        """Guards against a VM that keeps an older document."""
+        with run_fleet() as fleet:
+            fleet.put(make_document(2, ('juma',)))
+            fleet.run(APPLIED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name, 'juma'), '')
+                self.assertEqual(fleet.reason(name, 'asha'), 'key_unknown')
+
+    @parameterized.expand([(seed,) for seed in range(6)])
+    def test_two_disks_lost_beside_a_loss_of_power(self, seed: int) -> None:
+        """Guards against an acknowledged document that is gone."""
+        with run_fleet(seed) as fleet:
+            self.assertIsInstance(fleet.put(make_document(7)), CommandAnswer)
+            lost = fleet.rng.sample(CONTROL, 2)
+            for name in CONTROL:
+                fleet.kill(name)
+            for name in lost:
+                fleet.lose_disk(name)
+            fleet.run(0.5)
+            for name in CONTROL:
+                fleet.restart(name)
+            self.assertEqual(fleet.read().version, 7)
+            fleet.run(2 * CATCH_UP_S)
+            self.assertEqual(fleet.count_voters(), 5)
+
+    def test_isolated_leader_reads_nothing(self) -> None:
+        """Guards against an old document read at a leader that was cut off."""
+        with run_fleet() as fleet:
+            old = fleet.leader()
+            fleet.cut([old], fleet.others(old), both=True)
+            stale = fleet.command(old, ReadDocument())
+            fleet.run(3)
+            self.assertNotEqual(fleet.leader(), old)
+            fleet.put(make_document(2))
+            self.assertNotIsInstance(stale(), CommandAnswer)
+
+
+class FreshnessTest(TestCase):
+    """A VM that the control majority can't reach refuses keyed requests."""
+
+    @parameterized.expand(
+        [
+            ('both ways', True, True),
+            ('replies lost', True, False),
+            ('polls lost', False, True),
+        ]
+    )
+    def test_cut_off_entry(self, _: str, to_vm: bool, from_vm: bool) -> None:
+        """Guards against a withdrawn key that works on a VM cut off."""
+        with run_fleet() as fleet:
+            if to_vm:
+                fleet.cut(CONTROL, ['e1'], both=False)
+            if from_vm:
+                fleet.cut(['e1'], CONTROL, both=False)
+            fleet.put(make_document(2, ('juma',)))
+            fleet.run(WITHDRAWN_S - 0.3)
+            self.assertEqual(fleet.reason('e1', 'asha'), 'keys_stale')
+            self.assertFalse(fleet.runs['e1'].ready)
+            fleet.cuts.clear()
+            fleet.run(2)
+            self.assertEqual(fleet.reason('e1', 'juma'), '')
+
+    def test_leader_without_quorum_proves_nothing(self) -> None:
+        """Guards against proofs by a leader that only entry VMs reach."""
+        with run_fleet() as fleet:
+            old = fleet.leader()
+            rest = [name for name in CONTROL if name != old]
+            fleet.cut([old], rest, both=True)
+            fleet.cut(rest, ENTRIES, both=True)
+            fleet.run(WITHDRAWN_S)
+            self.assertEqual(fleet.reason('e2'), 'keys_stale')
+
+    def test_frozen_entry(self) -> None:
+        """Guards against a VM that trusts its keys after it stood still."""
+        with run_fleet() as fleet:
+            fleet.freeze('e1', 6)
+            fleet.put(make_document(2, ('juma',)))
+            fleet.run(5.9)
+            call = fleet.call('e1', 'asha')
+            fleet.run(1)
+            self.assertIn(call.reason, {'keys_stale', 'key_unknown'})
+
+
+class TargetTest(TestCase):
+    """The table of targets follows announcements and the log."""
+
+    def test_departure_outlives_the_leader(self) -> None:
+        """Guards against a departure that only the lost leader knew."""
+        with run_fleet() as fleet:
+            self.assertEqual(fleet.reason('e1'), '')
+            leaving = make_announcement(state=LEAVING, sequence=2)
+            accepted = fleet.announce(fleet.leader(), leaving)
+            fleet.run_until(accepted, 1)
+            fleet.kill(fleet.leader())
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
+
+    def test_isolated_control_vm_accepts_no_departure(self) -> None:
+        """Guards against an acknowledgement that binds nobody."""
+        with run_fleet() as fleet:
+            alone = next(name for name in CONTROL if name != fleet.leader())
+            fleet.cut([alone], fleet.others(alone), both=True)
+            leaving = make_announcement(state=LEAVING, sequence=2)
+            accepted = fleet.announce(alone, leaving)
+            fleet.run(2)
+            self.assertFalse(accepted())
+
+    @parameterized.expand(
+        [
+            ('late announcement', 1, 3, 'no_target'),
+            ('new start', 2, 1, ''),
+        ]
+    )
+    def test_after_departure(
+        self, _: str, born_ms: int, sequence: int, expected: str
+    ) -> None:
+        """Guards against late announcements that bring a target back."""
+        with run_fleet() as fleet:
+            leaving = make_announcement(state=LEAVING, sequence=2)
+            fleet.run_until(fleet.announce('c1', leaving), 1)
+            again = make_announcement(born_ms=born_ms, sequence=sequence)
+            fleet.run_until(fleet.announce('c3', again), 1)
+            fleet.run(1)
+            self.assertEqual(fleet.reason('e1'), expected)
+
+    def test_address_goes_to_the_later_start(self) -> None:
+        """Guards against a crashed target that takes its address back."""
+        with run_fleet() as fleet:
+            for name, born_ms in (('t2', 9), ('t1', 1)):
+                came = make_announcement(name, born_ms=born_ms, sequence=5)
+                fleet.run_until(fleet.announce('c1', came), 1)
+            fleet.run(1)
+            call = fleet.call('e1', 'asha')
+            fleet.run(0.5)
+            self.assertEqual(call.reason, '')
+            entry = fleet.runs['e1'].node._by_timer['attachment']
+            self.assertEqual(set(entry.rows), {'t2'})
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -109,6 +109,7 @@
     closed: set[int] = attrs.field(factory=set)
     answered: set[int] = attrs.field(factory=set)
     answers: dict[int, Any] = attrs.field(factory=dict)
+    announced: dict[int, Any] = attrs.field(factory=dict)
 
 
 class Fleet:
@@ -232,6 +233,17 @@
             self._feed(run, lambda at: ev.RequestArrived(at, number, head))
         return call
 
+    def announce(
+        self, name: str, announcement: ev.Announcement
+    ) -> Callable[[], bool]:
+        """Announce a target at a VM; the result tells if that was accepted."""
+        run, number = self.runs[name], next(self._order)
+        self._feed(
+            run,
+            lambda at: ev.TargetAnnounced(at, announcement, b'', number),
+        )
+        return lambda: run.announced.get(number, False) is None
+
     def stop(self, name: str) -> None:
         """Ask a process to drain and stop."""
         self._feed(self.runs[name], ev.StopRequested)
@@ -298,6 +310,8 @@
                 self._finish(run, effect, '')
             case fx.AnswerCommand(command_id=number, answer=answer):
                 run.answers[number] = answer
+            case fx.AnswerAnnouncement(reply_id=number, failure=failure):
+                run.announced[number] = failure
             case fx.SetReadiness(ready=ready):
                 run.ready = ready
             case fx.IncrementCounter(name='ownership.lease_won'):
