--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 STAMP := $(VENV)/.installed
-CHECKED := src tests $(wildcard benchmarks)
+CHECKED := src tests platform $(wildcard benchmarks)
 
 .PHONY: demo test format
 
@@ -17,8 +17,9 @@
 test: $(STAMP)
 	$(VENV)/bin/ruff format --check $(CHECKED)
 	$(VENV)/bin/ruff check $(CHECKED)
-	$(VENV)/bin/flake8 src
+	$(VENV)/bin/flake8 src platform
 	$(VENV)/bin/mypy
+	MYPYPATH=src:platform $(VENV)/bin/mypy --package adapter
 	$(VENV)/bin/python -m pytest
 
 format: $(STAMP)
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -14,7 +14,7 @@
 from .cache import Ask, CachedAccount, Lease
 from .messages import LeaseReport, TokensAsked, TokensGiven, TokensReported
 from .owner import Verdict
-from .shares import choose_region, find_limit
+from .shares import choose_region
 from .spare import SpareTokens
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
         self, settings: Settings, ownership: Owners, rng: random.Random
     ) -> None:
         """Start without tokens."""
-        self._spare = SpareTokens(rng)
+        self._spare = SpareTokens(settings, ownership, rng)
         self.run = 0
         self.configuration: Configuration | None = None
         self._region = settings.vm.region
@@ -162,10 +162,7 @@
             if at + _WAIT_CHECK_S <= waiting.until:
                 break
             self.cancel(request_id)
-            if self._use_spare(waiting.account, at):
-                outputs.append(TokenGranted(at, request_id))
-            else:
-                outputs.append(_deny_unreachable(request_id, at))
+            outputs.append(self._end_wait(request_id, waiting.account, at))
         return [*outputs, *self._set_wait_timer(at)]
 
     def check_leases(self, at: float) -> list[Output]:
@@ -267,25 +264,23 @@
             request_id = cached.waiting.pop(0)
             account = self._waiting.pop(request_id).account
             output = _deny(request_id, reason, at, wait_s)
-            if away and self._use_spare(account, at):
+            if away and self._spare.take(self.configuration, account, at):
                 output = TokenGranted(at, request_id)
             outputs.append(output)
         return outputs
 
+    def _end_wait(
+        self, request_id: RequestId, account: str, at: float
+    ) -> Output:
+        if self._spare.take(self.configuration, account, at):
+            return TokenGranted(at, request_id)
+        return _deny_unreachable(request_id, at)
+
     def _replace_owner(self, group: str, account: str, at: float) -> bool:
         """Use a spare token if the group has no owner."""
         if self._ownership.leader_of_group(group) is not None:
             return False
-        return self._use_spare(account, at)
-
-    def _use_spare(self, account: str, at: float) -> bool:
-        share = self._ownership.share_of_vm()
-        if not share or self.configuration is None:
-            return False
-        limit = find_limit(
-            self.configuration, account, self._region, self._regions
-        )
-        return limit is not None and self._spare.take(account, limit, share, at)
+        return self._spare.take(self.configuration, account, at)
 
     def _close_leases(self, account: str, group: str, at: float) -> None:
         for lease in self._accounts[account].close_leases(at):
--- a/src/cranberryseam/limits/spare.py
+++ b/src/cranberryseam/limits/spare.py
@@ -7,7 +7,10 @@
 
 import attrs
 
-from .shares import Limit
+from ..configuration.model import Configuration
+from ..configuration.settings import Settings
+from ..types import Owners
+from .shares import Limit, find_limit
 
 # Tokens that the fleet as a whole may have saved up for one account; spread
 # over all VMs it is less than one for each.
@@ -29,25 +32,38 @@
 
     Parameters
     ----------
+    settings
+        Region of the buckets.
+    owners
+        Says which part of a limit is this VM's.
     rng
         Decides on parts of a token.
 
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, settings: Settings, owners: Owners, rng: random.Random
+    ) -> None:
         """Start without saved tokens."""
+        self._region = settings.vm.region
+        self._regions = settings.region_names
+        self._owners = owners
         self._rng = rng
         self._spares: dict[str, _Spare] = {}
 
-    def take(self, account: str, limit: Limit, share: float, at: float) -> bool:
-        """Use a token of the VM's part of an account's rate.
-
-        Parameters
-        ----------
-        share
-            Part of the rate that is this VM's.
+    def take(
+        self, configuration: Configuration | None, account: str, at: float
+    ) -> bool:
+        """Use a token of the VM's part of an account's rate."""
+        share = self._owners.share_of_vm()
+        if not share or configuration is None:
+            return False
+        limit = find_limit(configuration, account, self._region, self._regions)
+        return limit is not None and self._take(account, limit, share, at)
 
-        """
+    def _take(
+        self, account: str, limit: Limit, share: float, at: float
+    ) -> bool:
         most = max(share * _SAVED_TOKENS, share * limit.rate)
         spare = self._spares.get(account)
         if spare is None:
--- /dev/null
+++ b/tests/routing/test_health.py
@@ -0,0 +1,97 @@
+"""Beliefs about targets that fail in spells (pattern: gray failures)."""
+
+from __future__ import annotations
+
+import random
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from cranberryseam.core.effects import SendMessage
+from cranberryseam.routing.health import Belief, Evidence
+from cranberryseam.routing.messages import HealthTold
+from cranberryseam.routing.sharing import HealthSharing
+from cranberryseam.routing.target import Target, hash_name
+from cranberryseam.types import VmId
+from tests.attachment.attached_fleet import make_announcement
+
+SUCCESS = Evidence.success
+FAILURE = Evidence.failure
+SILENCE = Evidence.silence
+
+
+class BeliefTest(TestCase):
+    """The probability follows outcomes and time."""
+
+    @parameterized.expand(
+        [
+            ('one failure', (FAILURE,), 0.8, 1),
+            ('one silence', (SILENCE,), 0.4, 0.7),
+            ('failure, then successes', (FAILURE, *[SUCCESS] * 4), 0, 0.1),
+            ('usual successes', (SUCCESS,) * 50, 0, 0.05),
+            ('failure after success', (*[SUCCESS] * 50, FAILURE), 0.2, 1),
+        ]
+    )
+    def test_outcomes(
+        self, _: str, seen: tuple[Evidence, ...], least: float, most: float
+    ) -> None:
+        """Guards against a first failure that is overlooked, or never
+        forgiven.
+        """
+        belief = Belief()
+        for evidence in seen:
+            belief.learn(evidence, 1)
+        self.assertTrue(least <= belief.read(1) <= most, belief)
+
+    def test_a_spell_is_forgotten(self) -> None:
+        """Guards against a target that is never tried again."""
+        belief = Belief()
+        belief.learn(FAILURE, 1)
+        self.assertGreater(belief.read(2), 0.7)
+        self.assertLess(belief.read(15), 0.3)
+
+
+class _Led:
+    """One VM leads everything."""
+
+    def leader_of(self, region: str, shard_key: str) -> VmId:
+        return VmId('c1')
+
+    def is_leader(self, region: str, shard_key: str, at: float) -> bool:
+        return True
+
+
+class SharingTest(TestCase):
+    """What one VM sees changes the choice of all others."""
+
+    def _sharing(self) -> tuple[HealthSharing, Target]:
+        sharing = HealthSharing('fleet', _Led())
+        came = make_announcement()
+        target = Target(came, hash_name(came.target), 0)
+        sharing.add_target(target)
+        return sharing, target
+
+    def test_failure_reaches_the_others(self) -> None:
+        """Guards against VMs that each learn of a spell by own failures."""
+        seen_by, target = self._sharing()
+        leader, _ = self._sharing()
+        leader.add_vm(VmId('e2'))
+        other, other_target = self._sharing()
+        (report,) = seen_by.note(target, FAILURE, 5)
+        leader.receive(report.message, 5.03)
+        (told,) = leader.tell(5.06)
+        self.assertIsInstance(told, SendMessage)
+        self.assertIsInstance(told.message, HealthTold)
+        other.take(told.message, 5.1)
+        self.assertGreater(other_target.failure_chance(5.1), 0.7)
+
+    def test_healthy_targets_cost_no_messages(self) -> None:
+        """Guards against a message for each of many successes."""
+        sharing, target = self._sharing()
+        rng = random.Random(3)
+        at = 0.0
+        sent = 0
+        for _ in range(1000):
+            at += rng.random()
+            sent += len(sharing.note(target, SUCCESS, at))
+        self.assertLess(sent, 10)
