--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -162,7 +162,7 @@
         if reply.members:
             self._members = reply.members
             self._members_index = reply.members_index
-        self.vm_count = reply.vm_count
+        self.vm_count = reply.vm_count or self.vm_count
         self._replied_at = max(self._replied_at, reply.sent_at)
         proven_at = reply.sent_at - reply.age_s
         outputs: list[Output] = [
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -53,6 +53,8 @@
 SILENT_S: Final = 20.0
 # A departed target stays in the table for VMs that were cut off meanwhile.
 _DEPARTED_S: Final = 60.0
+# VMs that lost their leader find a new one within this.
+_COUNTED_S: Final = 1.5
 # A VM that has not polled for this long asks another control VM.
 _VM_LOST_S: Final = 3.0
 
@@ -133,6 +135,7 @@
         self._entries: dict[TargetId, _Entry] = {}
         self._departed: set[_Departure] = set()
         self._waiting: dict[_Departure, list[_Waiter]] = {}
+        self._started_at: float = 0
         self._polled_at: dict[VmId, float] = {}
         self._source = ContentSource()
 
@@ -140,6 +143,7 @@
         """Apply one event or notice; see ``Part``."""
         match event:
             case Started():
+                self._started_at = event.at
                 return [SetTimer(PART, _TIMER, event.at + _SWEEP_S)]
             case TimerFired():
                 return self._sweep(event.at)
@@ -167,6 +171,15 @@
                 return [AnswerAnnouncement(reply_id, None)]
         return []
 
+    def _count_vms(self, authority: Authority, at: float) -> int:
+        """Return the number of VMs, 0 until all had time to poll.
+
+        A count that is too small would let each VM use too much of a limit.
+        """
+        if at - max(authority.since, self._started_at) < _COUNTED_S:
+            return 0
+        return len(self._polled_at)
+
     def _note_vm(self, vm: VmId, at: float) -> list[Output]:
         known = vm in self._polled_at
         self._polled_at[vm] = at
@@ -229,7 +242,7 @@
             term=self._term,
             position=self._position,
             members_index=index,
-            vm_count=len(self._polled_at),
+            vm_count=self._count_vms(authority, at),
             members=() if poll.members_index == index else members,
             rows=rows,
             whole=whole,
