Count late answers as evidence before their requests end

Cause: a target that hangs was known only once a request's deadline had passed (1.5 to 3 s), and short deadlines of callers counted against targets. Change: an attempt that lasts longer than the route's objective counts as silence, once, at the next tick; deadlines before that say nothing. Test: tests/routing/test_overdue.py.

--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -67,6 +67,7 @@
             excluded=state.excluded,
             attempt=state.attempt,
             rank=state.rank,
+            objective_s=state.route.objective_s,
         )
         return list(self._router.admit(admit, at))
 
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -67,6 +67,14 @@
             assignment.end(at)
         return assignment
 
+    def list_overdue(self, at: float) -> list[Assignment]:
+        """Return the attempts whose answers have just become late."""
+        return [
+            assignment
+            for assignment in self._assigned.values()
+            if assignment.take_overdue(at)
+        ]
+
     def cancel_waiting(self, request_id: RequestId) -> bool:
         """Remove a waiting request; return False if it didn't wait."""
         state = self._waiting.pop(request_id, None)
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -25,12 +25,29 @@
 
 @attrs.define(eq=False)
 class Assignment:
-    """A request that holds a slot of a target."""
+    """A request that holds a slot of a target.
+
+    Parameters
+    ----------
+    overdue
+        True once the lateness of its answer was counted.
+
+    """
 
     request: AdmitRequest
     state: ServiceState
     target: Target
     started_at: float
+    overdue: bool = False
+
+    def take_overdue(self, at: float) -> bool:
+        """Return, once, whether the answer is later than it is of use."""
+        objective_s = self.request.objective_s
+        late = bool(objective_s) and at - self.started_at > objective_s
+        if self.overdue or not late:
+            return False
+        self.overdue = True
+        return True
 
     def begin(self) -> None:
         """Take the slot."""
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -51,6 +51,8 @@
         1 for the first attempt.
     rank
         Urgency, 0 is the most urgent.
+    objective_s
+        Time within which an answer is of full use; 0 if unknown.
 
     """
 
@@ -64,6 +66,7 @@
     excluded: frozenset[TargetId] = frozenset()
     attempt: int = 1
     rank: int = 0
+    objective_s: float = 0
 
 
 class Leaders(Protocol):
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -247,11 +247,7 @@
     ) -> list[Output]:
         if not self._tuning.beliefs:
             return []
-        evidence = classify_evidence(outcome)
-        if outcome in _CUT_SHORT:
-            # A short deadline says nothing about the target.
-            slow = assignment.is_slow(at, took_s)
-            evidence = Evidence.silence if slow else None
+        evidence = _find_evidence(assignment, outcome, at, took_s)
         if evidence is None:
             return []
         shared = self._sharing.note(assignment.target, evidence, at)
@@ -290,12 +286,24 @@
                 lane.update_rate(self._tuning.tick_s)
             # Ejections that have expired since free targets without an event.
             outputs.extend(self._admission.dispatch(state, at))
+        outputs.extend(self._note_overdue(at))
         if at >= self._decayed_at + _ACCOUNT_DECAY_S:
             self._decayed_at = at
             for state in self._services.values():
                 state.accounts.decay()
         return outputs
 
+    def _note_overdue(self, at: float) -> list[Output]:
+        """Count answers that don't come, before their requests end."""
+        outputs: list[Output] = []
+        if self._tuning.beliefs:
+            for assignment in self._admission.list_overdue(at):
+                shared = self._sharing.note(
+                    assignment.target, Evidence.silence, at
+                )
+                outputs.extend(self._deliver(shared, at))
+        return outputs
+
     def _report(self, at: float) -> list[Output]:
         outputs: list[Output] = []
         for due in self._reporting.collect(self._services.values(), at):
@@ -399,4 +407,24 @@
         return target
 
 
+def _find_evidence(
+    assignment: Assignment, outcome: AttemptOutcome, at: float, took_s: float
+) -> Evidence | None:
+    """Return what an outcome says about the target beyond what was counted.
+
+    A late success says the same as no answer in time. A short deadline says
+    nothing.
+    """
+    if outcome is AttemptOutcome.failed:
+        return Evidence.failure
+    if assignment.overdue:
+        return None
+    if assignment.take_overdue(at):
+        return Evidence.silence
+    if outcome in _CUT_SHORT:
+        slow = assignment.is_slow(at, took_s)
+        return Evidence.silence if slow else None
+    return classify_evidence(outcome)
+
+
 __all__ = ('Router',)
