Compress large messages; keep one budget of retries for the fleet

Change: messages from 400 bytes on are compressed; a VM that missed one change gets the difference also from a new leader; each VM has its part of one budget of retries, from the settings and the number of VMs; leases of token blocks last 1 s, so a new owner begins sooner.

--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -251,6 +251,7 @@
             *_CHANGES,
             nt.TargetChanged,
             nt.LeadershipChanged,
+            nt.FleetCounted,
         ),
     )
 
--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -25,6 +25,7 @@
 )
 from ..core.notices import (
     ConfigurationChanged,
+    FleetCounted,
     LeadershipChanged,
     Notice,
     RoundTripCompleted,
@@ -162,10 +163,11 @@
         if reply.members:
             self._members = reply.members
             self._members_index = reply.members_index
-        self.vm_count = reply.vm_count or self.vm_count
+        counted = self._take_count(reply.vm_count, at)
         self._replied_at = max(self._replied_at, reply.sent_at)
         proven_at = reply.sent_at - reply.age_s
         outputs: list[Output] = [
+            *counted,
             *self._take_configuration(reply, at),
             *self._take_rows(reply, at),
             RoundTripCompleted(at, sender, self._region, proven_at),
@@ -182,6 +184,12 @@
             )
         return outputs
 
+    def _take_count(self, vms: int, at: float) -> list[Output]:
+        if not vms or vms == self.vm_count:
+            return []
+        self.vm_count = vms
+        return [FleetCounted(at, vms)]
+
     def _take_configuration(self, reply: PollReply, at: float) -> list[Output]:
         if reply.content is None:
             return []
--- a/src/cranberryseam/attachment/content.py
+++ b/src/cranberryseam/attachment/content.py
@@ -63,10 +63,9 @@
 
     def find(self, configuration: Configuration, base: int) -> Content | None:
         """Return what a VM with the content version ``base`` lacks."""
-        version = configuration.content_version
-        if base >= version:
-            return None
         self._keep(configuration)
+        if base >= configuration.content_version:
+            return None
         before = self._kept.get(base)
         if before is None:
             return WholeContent(store_configuration(_strip(configuration)))
--- a/src/cranberryseam/configuration/settings.py
+++ b/src/cranberryseam/configuration/settings.py
@@ -101,6 +101,25 @@
     isolation: str = 'vm'
 
 
+@attrs.frozen
+class RetrySettings:
+    """Attempts beyond the first of each request, for the whole fleet.
+
+    Parameters
+    ----------
+    share
+        Of the requests for a service.
+    slack
+        Further ones for each service in ``window_s``; 0 means that each VM
+        has a budget of its own.
+
+    """
+
+    share: float = 0.1
+    slack: float = 0
+    window_s: float = 10.0
+
+
 @attrs.frozen
 class StatsdSettings:
     """Where metrics go; nowhere without a port."""
@@ -162,6 +181,7 @@
     control: ControlSettings = ControlSettings()
     keys: KeySettings = KeySettings()
     requests: RequestSettings = RequestSettings()
+    retries: RetrySettings = RetrySettings()
     statsd: StatsdSettings = StatsdSettings()
     admin: AdminSettings = AdminSettings()
     seed: int = 0
@@ -188,6 +208,7 @@
     'KeySettings',
     'PeerSettings',
     'RequestSettings',
+    'RetrySettings',
     'Settings',
     'StatsdSettings',
     'VmSettings',
--- a/src/cranberryseam/core/codec.py
+++ b/src/cranberryseam/core/codec.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
 from types import GenericAlias
-from typing import TYPE_CHECKING, Any, Union
+from typing import TYPE_CHECKING, Any, Final, Union
 
 import attrs
 import msgspec
@@ -13,6 +14,13 @@
 from .errors import Failure
 from .messages import Message
 
+# Links between regions are billed by volume. Configurations and tables shrink
+# to a quarter; shorter messages gain nothing.
+COMPRESSED_FROM_BYTES: Final = 400
+COMPRESSION_LEVEL: Final = 3
+LARGEST_MESSAGE_BYTES: Final = 268_435_456
+_ZLIB_MARK: Final = b'\x78'
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -51,15 +59,29 @@
 
     def encode(self, sender: VmId, message: Message) -> bytes:
         """Return the bytes of an envelope."""
-        return self._encoder.encode((sender, message))
+        raw = self._encoder.encode((sender, message))
+        if len(raw) < COMPRESSED_FROM_BYTES:
+            return raw
+        return zlib.compress(raw, COMPRESSION_LEVEL)
 
     def decode(self, raw: bytes) -> Result[Envelope, UndecodableMessage]:
         """Return the envelope, or why the bytes are none."""
         try:
-            sender, message = self._decoder.decode(raw)
-        except msgspec.MsgspecError as error:
+            sender, message = self._decoder.decode(_inflate(raw))
+        except (msgspec.MsgspecError, zlib.error) as error:
             return Error(UndecodableMessage(str(error)))
         return Ok(Envelope(VmId(sender), message))
 
 
+def _inflate(raw: bytes) -> bytes:
+    # An envelope is an array of two, which begins with another byte.
+    if raw[:1] != _ZLIB_MARK:
+        return raw
+    unpacker = zlib.decompressobj()
+    inflated = unpacker.decompress(raw, LARGEST_MESSAGE_BYTES)
+    if unpacker.unconsumed_tail:
+        raise zlib.error(f'message is larger than {LARGEST_MESSAGE_BYTES} B')
+    return inflated
+
+
 __all__ = ('Codec', 'Envelope', 'UndecodableMessage')
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -70,6 +70,13 @@
     born_ms: int
 
 
+@attrs.frozen
+class FleetCounted(Notice):
+    """The number of VMs of the fleet changed."""
+
+    vms: int
+
+
 class MemberStatus(Enum):
     """What gossip knows of another VM."""
 
@@ -196,6 +203,7 @@
     'ConfigurationChanged',
     'DepartureReported',
     'EntryCommitted',
+    'FleetCounted',
     'KeysWithdrawn',
     'LeadershipChanged',
     'MemberChanged',
--- a/src/cranberryseam/limits/bucket.py
+++ b/src/cranberryseam/limits/bucket.py
@@ -8,7 +8,8 @@
 
 from .shares import Limit
 
-BLOCK_LEASE_S = 2.0
+# A new owner waits for the leases of the one before, so they are short.
+BLOCK_LEASE_S = 1.0
 # A single token is for a request that waits at most this long, so its lease
 # needs no report to end soon.
 SINGLE_LEASE_S = 0.25
--- a/src/cranberryseam/routing/budgets.py
+++ b/src/cranberryseam/routing/budgets.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from .model import RetryTuning
-
+_SHARE = 0.1
+_RESERVE = 3.0
+_REFILL_PER_S = 0.2
 _MOST = 30.0
 _MOST_ACCOUNTS = 4096
 
@@ -17,10 +18,10 @@
     units: float
     at: float
 
-    def refill(self, at: float, tuning: RetryTuning) -> None:
-        if self.units < tuning.reserve:
-            refilled = self.units + (at - self.at) * tuning.refill_per_s
-            self.units = min(tuning.reserve, refilled)
+    def refill(self, at: float) -> None:
+        if self.units < _RESERVE:
+            refilled = self.units + (at - self.at) * _REFILL_PER_S
+            self.units = min(_RESERVE, refilled)
         self.at = at
 
 
@@ -32,16 +33,15 @@
     unused for longest is forgotten.
     """
 
-    def __init__(self, tuning: RetryTuning) -> None:
+    def __init__(self) -> None:
         """Start with the reserve for everyone."""
-        self._tuning = tuning
         self._services: OrderedDict[str, _Budget] = OrderedDict()
         self._accounts: OrderedDict[str, _Budget] = OrderedDict()
 
     def credit(self, service: str, account: str, at: float) -> None:
         """Count a success."""
         for budget in self._find_both(service, account, at):
-            budget.units = min(_MOST, budget.units + self._tuning.share)
+            budget.units = min(_MOST, budget.units + _SHARE)
 
     def take(self, service: str, account: str, at: float) -> bool:
         """Take one unit of both budgets, or of none."""
@@ -65,12 +65,12 @@
     ) -> _Budget:
         budget = known.get(name)
         if budget is None:
-            budget = _Budget(self._tuning.reserve, at)
+            budget = _Budget(_RESERVE, at)
             known[name] = budget
             if len(known) > _MOST_ACCOUNTS:
                 known.popitem(last=False)
         known.move_to_end(name)
-        budget.refill(at, self._tuning)
+        budget.refill(at)
         return budget
 
 
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -79,28 +79,6 @@
         """Return whether this VM holds the leader lease at a time."""
 
 
-@attrs.frozen
-class RetryTuning:
-    """Budget of the retries of one VM, for each service and each account.
-
-    Parameters
-    ----------
-    share
-        Units for each success.
-    reserve, refill_per_s
-        Units to begin with, and how fast they come back.
-    shed_is_free
-        Whether another attempt after a shed one needs no unit, since it waits
-        for a slot like a new request.
-
-    """
-
-    share: float = 0.1
-    reserve: float = 3.0
-    refill_per_s: float = 0.2
-    shed_is_free: bool = True
-
-
 @attrs.frozen
 class Tuning:
     """Constants of the router; ``docs/POLICY.md`` says how to set them.
@@ -130,8 +108,6 @@
     reports_per_tick
         Most reports (one per service and region) per tick; services with
         failures or ejections come first.
-    budget
-        Budget of the retries of one VM.
     beliefs
         Whether VMs share beliefs about targets and choose by them.
     told_load
@@ -155,28 +131,20 @@
     reports_per_tick: int = 6
     ejects: bool = True
     suspects: bool = True
-    budget: RetryTuning = RetryTuning()
     beliefs: bool = False
     told_load: float = 0
 
 
 # A target that was just started is slow for about this long.
 _SHORT_COLD_START_S = 3.0
-# A fleet that counts each arrival beyond the first against one budget: a fifth
-# of the requests and 56 in 10 s. Each of about 40 VMs keeps within its part.
-_SHARED_REFILL_PER_S = 0.08
 ATTACHED = Tuning(
     ejects=False,
     suspects=False,
     beliefs=True,
     told_load=0.5,
     grace_s=_SHORT_COLD_START_S,
-    budget=RetryTuning(
-        reserve=1.0, refill_per_s=_SHARED_REFILL_PER_S, shed_is_free=False
-    ),
 )
 
-
 __all__ = (
     'ATTACHED',
     'INTERACTIVE_LANE',
@@ -185,6 +153,5 @@
     'AdmitRequest',
     'AttemptOutcome',
     'Leaders',
-    'RetryTuning',
     'Tuning',
 )
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -17,6 +17,7 @@
 )
 from ..core.notices import (
     ConfigurationChanged,
+    FleetCounted,
     LeadershipChanged,
     MemberChanged,
     MemberStatus,
@@ -42,6 +43,7 @@
 )
 from .reporting import Reporting, take_view
 from .service import ServiceState
+from .shared_budget import SharedBudget
 from .sharing import TELL, HealthSharing
 from .target import Target, hash_name
 
@@ -62,6 +64,7 @@
 _ACCOUNT_DECAY_S = 10.0
 _NO_TARGET_RETRY_S = 1.0
 _CUT_SHORT = frozenset((AttemptOutcome.timed_out, AttemptOutcome.cancelled))
+_GONE = frozenset((MemberStatus.dead, MemberStatus.left))
 _HEDGE_SAMPLES = 50
 _HEDGE_SHARE = 0.95
 
@@ -99,7 +102,10 @@
         self._floors: dict[str, float] = {}
         self._version = 0
         self._admission = Admission(rng)
-        self._budgets = RetryBudgets(self._tuning.budget)
+        self._budgets = RetryBudgets()
+        self._shared_budget = (
+            SharedBudget(settings.retries) if settings.retries.slack else None
+        )
         self._reporting = Reporting(ownership, self._tuning)
         self._leading = Leading(
             self._id, settings.vm.region, self._tuning, ownership, rng
@@ -117,14 +123,8 @@
                 return self._receive(event)
             case TargetChanged(announcement=announcement, silent=silent):
                 return self._change_target(announcement, silent, event.at)
-            case MemberChanged(vm=vm, status=status):
-                if status is MemberStatus.alive:
-                    self._sharing.add_vm(vm)
-                elif status in {MemberStatus.dead, MemberStatus.left}:
-                    self._leading.forget_vm(vm)
-                    self._sharing.remove_vm(vm)
-            case LeadershipChanged():
-                self._leading.check_leadership(event.at)
+            case MemberChanged() | LeadershipChanged() | FleetCounted():
+                self._follow_fleet(event)
             case ConfigurationChanged():
                 self._configure(event)
             case CommandReceived(command=ShowTargets()):
@@ -152,6 +152,8 @@
 
         """
         state = self._services.get(request.service)
+        if self._shared_budget is not None and request.attempt == 1:
+            self._shared_budget.credit(request.service, at)
         if state is None or not any(state.near(at)):
             reason = RefusalReason.no_target
             return [
@@ -210,8 +212,10 @@
             budget; its deadline bounds it.
 
         """
-        free = self._tuning.budget.shed_is_free
-        if outcome is AttemptOutcome.shed and free:
+        if self._shared_budget is not None:
+            # Targets that shed count what they reject, too.
+            return self._shared_budget.take(service, at)
+        if outcome is AttemptOutcome.shed:
             return True
         return self._budgets.take(service, account, at)
 
@@ -238,6 +242,20 @@
         state.near(at)
         return frozenset(state.ejected)
 
+    def _follow_fleet(self, event: Event | Notice) -> None:
+        match event:
+            case MemberChanged(vm=vm, status=MemberStatus.alive):
+                self._sharing.add_vm(vm)
+            case MemberChanged(vm=vm, status=status):
+                if status in _GONE:
+                    self._leading.forget_vm(vm)
+                    self._sharing.remove_vm(vm)
+            case LeadershipChanged():
+                self._leading.check_leadership(event.at)
+            case FleetCounted(vms=vms):
+                if self._shared_budget is not None:
+                    self._shared_budget.vm_count = vms
+
     def _share_health(
         self,
         assignment: Assignment,
