Log refusals on arrival; stop within the grace period; tell shorter times to return

Change: a line for each refusal, bounded to 400 lines a second; exit_s bounds the wait for open connections; times to return of 0.1 to 0.4 s. Test: tests/requests/test_lines.py.

--- a/src/cranberryseam/configuration/settings.py
+++ b/src/cranberryseam/configuration/settings.py
@@ -142,6 +142,9 @@
 
     Parameters
     ----------
+    exit_s
+        Connections that are still open when the process may stop are closed
+        after this.
     utc_offset_minutes
         Offset of the local time that deadlines by time of day refer to.
 
@@ -152,6 +155,7 @@
     body_timeout_s: float = 30.0
     drain_limit_s: float = 30.0
     drain_grace_s: float = 1.0
+    exit_s: float = 2.0
     utc_offset_minutes: int = 0
 
 
--- a/src/cranberryseam/daemon/executor.py
+++ b/src/cranberryseam/daemon/executor.py
@@ -5,7 +5,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from ..core.effects import Effect, IncrementCounter, StopProcess, WriteLog
 from ..core.events import Event, PauseSuspected
@@ -13,6 +13,9 @@
 from .clock import Clock
 from .metrics import Metrics
 
+# At the target size a VM has 140 requests/s with two lines each.
+LINES_PER_S: Final = 400
+MOST_LINES: Final = 2000
 _logger = logging.getLogger('cranberryseam')
 
 
@@ -54,6 +57,8 @@
         self._handlers: list[EffectHandler] = []
         self._events: deque[Event] = deque()
         self._running = False
+        self._lines: float = MOST_LINES
+        self._lines_at = float(0)
         self.failed = False
 
     def add_handler(self, handler: EffectHandler) -> None:
@@ -80,6 +85,24 @@
             raise
         self._running = False
 
+    def _log(self, effect: WriteLog) -> None:
+        """Write a line, unless too many were written lately.
+
+        Writing must not slow down requests under load; warnings are always
+        written.
+        """
+        now = self._clock.read()
+        gained = (now - self._lines_at) * LINES_PER_S
+        self._lines = min(MOST_LINES, self._lines + gained)
+        self._lines_at = now
+        if self._lines < 1 and effect.level < logging.WARNING:
+            self._metrics.increment('logs.dropped')
+            return
+        self._lines -= 1
+        _logger.log(
+            effect.level, effect.message, extra={'fields': effect.fields}
+        )
+
     def _drain_events(self) -> None:
         while self._events:
             for effect in self._node.handle(self._events.popleft()):
@@ -89,9 +112,7 @@
         if isinstance(effect, IncrementCounter):
             self._metrics.increment(effect.name, effect.by)
         elif isinstance(effect, WriteLog):
-            _logger.log(
-                effect.level, effect.message, extra={'fields': effect.fields}
-            )
+            self._log(effect)
         elif isinstance(effect, StopProcess):
             self._stop()
         elif not any(handler(effect) for handler in self._handlers):
--- a/src/cranberryseam/keys/table.py
+++ b/src/cranberryseam/keys/table.py
@@ -35,8 +35,9 @@
 
 PART = 'keys'
 _EXPIRY = 'expiry'
-# A VM that is stale or has just started is usually back after one round trip.
-_RETRY_AFTER_S = 1.0
+# Another VM serves the request at once; this one is usually back after one
+# round trip.
+_RETRY_AFTER_S = 0.1
 
 
 class KeyTable:
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -21,6 +21,9 @@
 # Targets of one request to which no connection was made; each takes up to
 # 0.4 s, and more of them mean that this VM is cut off.
 MOST_UNREACHED: Final = 4
+# A target that sheds has a few requests before it, each of which takes some
+# tenths of a second.
+OVERLOADED_RETRY_S: Final = 0.4
 
 _Outputs = list[Output]
 _FAULTY: Final = frozenset(
@@ -180,9 +183,10 @@
     def _refuse_overloaded(
         self, state: RequestState, event: ev.AnswerReady
     ) -> _Outputs:
-        refusal = Refusal(
-            RefusalReason.target_overloaded, _ran(state), event.retry_after_s
-        )
+        wait_s = event.retry_after_s
+        if wait_s is None:
+            wait_s = OVERLOADED_RETRY_S
+        refusal = Refusal(RefusalReason.target_overloaded, _ran(state), wait_s)
         return [
             fx.CancelAttempt(state.request_id, state.attempt_id),
             *self._endings.release(state, AttemptOutcome.shed, event.at),
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -21,12 +21,14 @@
     doubt_refusal,
     render_refusal,
 )
+from .lines import describe_early_refusal
 from .state import RequestState, Stage
 
 PART: Final = 'requests'
 # Streams are checked this often for keys that no longer work.
 STREAM_CHECK_S: Final = 1.0
-RETRY_AFTER_S: Final = 1.0
+# Another VM serves the request at once.
+RETRY_AFTER_S: Final = 0.1
 _STREAM_TIMER: Final = 'streams'
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 # With these the claim owner has looked and found no other copy that ran.
@@ -227,7 +229,8 @@
     head = event.head
     keyed = head.idempotency_key is not None
     told = doubt_refusal(refusal, keyed and head.method not in _SAFE_METHODS)
-    return render_refusal(event.request_id, told)
+    line = describe_early_refusal(event, told)
+    return [line, *render_refusal(event.request_id, told)]
 
 
 def _set_stream_timer(at: float) -> fx.SetTimer:
--- a/src/cranberryseam/requests/lines.py
+++ b/src/cranberryseam/requests/lines.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from ..core.effects import WriteLog
+from ..core.events import RequestArrived
 from ..core.refusals import Refusal
 from .state import RequestState
 
@@ -29,6 +30,22 @@
     )
 
 
+def describe_early_refusal(event: RequestArrived, refusal: Refusal) -> WriteLog:
+    """Return the line for a request that was refused on its arrival."""
+    head = event.head
+    fields = {
+        'request': head.caller_id or event.request_id,
+        'method': head.method,
+        'host': head.host,
+        'path': head.path,
+        'reason': refusal.reason.value,
+        'ran': refusal.ran.value,
+        'retry_after_s': refusal.retry_after_s,
+        'stage': 'arrival',
+    }
+    return WriteLog(logging.INFO, 'request refused', fields)
+
+
 def describe_attempt(
     state: RequestState, outcome: str, at: float, **details: object
 ) -> WriteLog:
@@ -60,4 +77,8 @@
     return WriteLog(logging.INFO, message, fields)
 
 
-__all__ = ('describe_attempt', 'describe_refusal')
+__all__ = (
+    'describe_attempt',
+    'describe_early_refusal',
+    'describe_refusal',
+)
--- a/src/cranberryseam/requests/outcomes.py
+++ b/src/cranberryseam/requests/outcomes.py
@@ -14,6 +14,8 @@
 TOO_MANY_REQUESTS: Final = 429
 SERVICE_UNAVAILABLE: Final = 503
 MISDIRECTED: Final = 421
+# Another VM may have a path to the targets.
+UNREACHABLE_RETRY_S: Final = 0.3
 
 
 def classify_answer(event: AnswerReady) -> AttemptOutcome:
@@ -50,7 +52,9 @@
         return Refusal(reason, Ran.unknown)
     if failure is AttemptFailure.timed_out:
         return Refusal(RefusalReason.deadline_expired)
-    return Refusal(RefusalReason.target_unreachable, retry_after_s=1)
+    return Refusal(
+        RefusalReason.target_unreachable, retry_after_s=UNREACHABLE_RETRY_S
+    )
 
 
 __all__ = ('classify_answer', 'classify_failure', 'refuse_failed')
--- a/src/cranberryseam/serving/listener.py
+++ b/src/cranberryseam/serving/listener.py
@@ -16,8 +16,6 @@
 # Idle connections of callers are kept this long; also the time within which
 # a connection must bring the whole head of its first request.
 KEEP_ALIVE_S = 20.0
-# Beyond the drain limit, so that requests that end just in time are answered.
-_DRAIN_MARGIN_S = 2.0
 _BACKLOG = 512
 # The server closes a connection after this many requests.
 _REQUESTS_PER_CONNECTION = 1_000_000
@@ -69,7 +67,7 @@
     # Twice the limit, so that headers slightly above it get a refusal with
     # its reason; larger ones get a bare 400 from the server.
     config.h11_max_incomplete_size = 2 * limits.most_header_bytes
-    config.graceful_timeout = limits.drain_limit_s + _DRAIN_MARGIN_S
+    config.graceful_timeout = limits.exit_s
     framework: Any = app
     await serve(framework, config, shutdown_trigger=wait_for_stop, mode='asgi')
 
