--- /dev/null
+++ b/tests/daemon/test_reload.py
@@ -0,0 +1,73 @@
+"""Settings that change while the process runs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+
+import attrs
+from expression import Error, Ok, Result
+from testtools import TestCase
+
+from cranberryseam.configuration.settings import (
+    Addresses,
+    ControlSettings,
+    Settings,
+    VmSettings,
+)
+from cranberryseam.core.errors import Failure, InvalidInput
+from cranberryseam.daemon.program import open_program
+from cranberryseam.daemon.servers import Interfaces
+
+SEED = '127.0.0.1:1'
+OTHER_SEED = '127.0.0.1:2'
+WAIT_S = 0.3
+
+
+def _find_address() -> str:
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+def _build_settings() -> Settings:
+    name = _find_address()
+    return Settings(
+        VmSettings(name, 'fleet', 'dc-1'),
+        Addresses(name, metrics=_find_address()),
+        ('fleet',),
+        control=ControlSettings(seeds=(SEED,)),
+    )
+
+
+class ReloadTest(TestCase):
+    """SIGHUP reads the settings again and never ends the process."""
+
+    def _hang_up(self, changed: Result[Settings, Failure]) -> tuple[str, ...]:
+        interfaces = Interfaces(reload=lambda: changed)
+
+        async def scenario() -> tuple[str, ...]:
+            with open_program(_build_settings(), interfaces) as program:
+                running = asyncio.create_task(program.ok.run())
+                await asyncio.sleep(WAIT_S)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await asyncio.sleep(WAIT_S)
+                assert not running.done()
+                program.ok.stopped.set()
+                await running
+                return program.ok.seeds
+
+        return asyncio.run(scenario())
+
+    def test_new_seeds(self) -> None:
+        """Guards against a process that a changed settings file ends."""
+        settings = _build_settings()
+        control = attrs.evolve(settings.control, seeds=(OTHER_SEED,))
+        changed = attrs.evolve(settings, control=control)
+        self.assertEqual(self._hang_up(Ok(changed)), (OTHER_SEED,))
+
+    def test_unusable_settings(self) -> None:
+        """Guards against a file read while it was written."""
+        failure = InvalidInput('settings.toml', '', 'half', 'a whole file')
+        self.assertEqual(self._hang_up(Error(failure)), (SEED,))
