Ask for the control leader once; drop a second name of the table of targets

Found by reading the change: each command of the control log checked for a leader by itself; the attached VM's rows had two public names; the list of control replicas was built for every poll, though it is sent only when it changed. Behaviour is the same.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-from collections.abc import Mapping
 from typing import Final
 
 from ..configuration.model import Configuration
@@ -80,11 +79,6 @@
         self._polled_at: dict[str, float] = {}
         self._unconfirmed: dict[TargetId, float] = {}
 
-    @property
-    def known_rows(self) -> Mapping[TargetId, TargetRow]:
-        """Rows of the targets that this VM knows."""
-        return self.rows
-
     def handle(self, event: Event | Notice) -> list[Output]:
         """Apply one event; see ``Part``."""
         match event:
--- a/src/cranberryseam/attachment/content.py
+++ b/src/cranberryseam/attachment/content.py
@@ -102,7 +102,7 @@
         document_version=after.document.version if after.document else 0,
         lists=diff_lists(before, list_rows(after), ''),
         keys=keys,
-        removed_keys=tuple(removed),
+        removed_keys=removed,
         withdrawn=tuple(sorted(after.withdrawn - before.withdrawn)),
     )
 
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -83,7 +83,7 @@
     """The copy of the table that this VM has as a follower."""
 
     @property
-    def known_rows(self) -> Mapping[TargetId, TargetRow]:
+    def rows(self) -> Mapping[TargetId, TargetRow]:
         """Rows by target."""
 
 
@@ -211,7 +211,7 @@
         self._departed.update(authority.configuration.departed)
         self._entries = {
             target: _Entry(row, at, self._position)
-            for target, row in self._copy.known_rows.items()
+            for target, row in self._copy.rows.items()
         }
         for target, entry in self._entries.items():
             born_ms = entry.row.announcement.born_ms
@@ -234,8 +234,10 @@
                 for entry in self._entries.values()
                 if entry.position > after
             )
-        members = self._replica.list_members()
         index = self._replica.members_index
+        members: tuple[VmId, ...] = ()
+        if poll.members_index != index:
+            members = self._replica.list_members()
         return PollReply(
             sent_at=poll.sent_at,
             age_s=max(0, at - authority.confirmed_at),
@@ -243,7 +245,7 @@
             position=self._position,
             members_index=index,
             vm_count=self._count_vms(authority, at),
-            members=() if poll.members_index == index else members,
+            members=members,
             rows=rows,
             whole=whole,
             content=self._source.find(
--- a/src/cranberryseam/control/replica.py
+++ b/src/cranberryseam/control/replica.py
@@ -278,28 +278,23 @@
                 self._bootstrap.receive_command(command_id, wall_s)
             case ShowControl():
                 self._answer(command_id, self._describe())
+            case _ if self._leader is None:
+                self._answer(command_id, self._refuse())
+            case _:
+                self._lead_command(self._leader, command_id, command)
+
+    def _lead_command(
+        self, leading: leader.Leader, command_id: int, command: Command
+    ) -> None:
+        match command:
             case ApplyLists() | GrantKey() | WithdrawKey():
-                if self._leader is None:
-                    self._answer(command_id, self._refuse())
-                else:
-                    self._leader.receive_command(command_id, command)
+                leading.receive_command(command_id, command)
             case PutDocument():
-                if self._leader is None:
-                    self._answer(command_id, self._refuse())
-                else:
-                    self._leader.receive_document(command_id, command)
+                leading.receive_document(command_id, command)
             case ReadDocument():
-                if self._leader is None:
-                    self._answer(command_id, self._refuse())
-                else:
-                    self._leader.read_document(command_id)
+                leading.read_document(command_id)
             case ReplaceReplica():
-                if self._leader is None:
-                    self._answer(command_id, self._refuse())
-                else:
-                    self._replacements.receive_command(
-                        self._leader, command_id, command
-                    )
+                self._replacements.receive_command(leading, command_id, command)
 
     def _refuse(self) -> Failure:
         context = self._context
