Don't blame a target for one account's failures; judge last attempts by their risk

Change: a report tells the successes of the account with most failures; the leader leaves out an account that fails where others succeed. Attempts after the first count the full risk. Spare parts of limits allow for a short history. No garbage collection while modules are loaded.

--- a/src/cranberryseam/daemon/main.py
+++ b/src/cranberryseam/daemon/main.py
@@ -93,6 +93,8 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER_ALLOCATIONS)
+    # An entry point may have switched it off while modules were loaded.
+    gc.enable()
 
 
 def _exit_with(message: str, code: int) -> None:
--- a/src/cranberryseam/daemon/peers.py
+++ b/src/cranberryseam/daemon/peers.py
@@ -22,8 +22,9 @@
 # protocols repeat what matters.
 SEND_BUFFER_MESSAGES: Final = 128
 RECEIVE_BUFFER_MESSAGES: Final = 1024
-# Open sockets to other VMs; the one unused for longest is closed first.
-MOST_OPEN_SOCKETS: Final = 96
+# Open sockets to other VMs; the one unused for longest is closed first. The
+# control leader talks to all VMs all the time.
+MOST_OPEN_SOCKETS: Final = 1024
 RECONNECT_MIN_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 LARGEST_MESSAGE_BYTES: Final = 16_777_216
--- a/src/cranberryseam/limits/spare.py
+++ b/src/cranberryseam/limits/spare.py
@@ -21,6 +21,8 @@
 _SPLIT_SHARE: Final = 0.1
 # Tokens used within this time tell a VM's part of an account's use.
 _MEMORY_S: Final = 3.0
+# A single token says nothing about a rate before this time is over.
+_LEAST_KNOWN_S: Final = 1.0
 # Seconds of its own use that a VM saves up.
 _SAVED_S: Final = 1.0
 
@@ -40,10 +42,22 @@
 
     rate: float
     at: float
+    since: float
+
+    def add(self, at: float) -> None:
+        """Count a token."""
+        kept = math.exp((self.at - at) / _MEMORY_S)
+        self.rate = self.rate * kept + 1 / _MEMORY_S
+        self.at = at
 
     def read(self, at: float) -> float:
-        """Return the rate at a time, without further tokens."""
-        return self.rate * math.exp((self.at - at) / _MEMORY_S)
+        """Return the rate at a time.
+
+        An account that came a moment ago has used less of the memory.
+        """
+        kept = math.exp((self.at - at) / _MEMORY_S)
+        known_s = max(_LEAST_KNOWN_S, at - self.since)
+        return self.rate * kept / (1 - math.exp(-known_s / _MEMORY_S))
 
 
 class SpareTokens:
@@ -79,9 +93,7 @@
 
     def note_use(self, account: str, at: float) -> None:
         """Count a token of the owner that was used here."""
-        use = self._uses.setdefault(account, _Use(0, at))
-        use.rate = use.read(at) + 1 / _MEMORY_S
-        use.at = at
+        self._uses.setdefault(account, _Use(0, at, at)).add(at)
 
     def forget(self, account: str) -> None:
         """Forget an account that isn't in use."""
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -130,6 +130,7 @@
             tally.accounts[account] += 1
         elif outcome is AttemptOutcome.succeeded or slow:
             tally.succeeded += 1
+            tally.served[account] += 1
         if slow and not failed:
             tally.slow += 1
 
--- a/src/cranberryseam/routing/evidence.py
+++ b/src/cranberryseam/routing/evidence.py
@@ -12,9 +12,49 @@
 from .messages import OutcomeRow
 
 _MOST_ACCOUNT_FAILURES = 3
+# Outcomes of the other accounts from which on they clear a target, and how
+# many times rarer their failures must be.
+_LEAST_OTHERS = 8.0
+_TIMES_RARER = 4.0
+# Failures of an account below this are forgotten.
+_FORGOTTEN = 0.1
 _LOAD_SHARE = 0.3
 
 
+@attrs.define(eq=False)
+class AccountShare:
+    """Recent outcomes of one account at a target, and of all others."""
+
+    failed: float = 0
+    succeeded: float = 0
+    others_failed: float = 0
+    others_succeeded: float = 0
+
+    def add(self, row: OutcomeRow) -> None:
+        """Add a row in which this account failed most."""
+        self.failed += row.account_failed
+        self.succeeded += row.account_succeeded
+        self.others_failed += row.failed - row.account_failed
+        self.others_succeeded += row.succeeded - row.account_succeeded
+
+    def decay(self, kept: float) -> None:
+        """Forget a part of it."""
+        self.failed *= kept
+        self.succeeded *= kept
+        self.others_failed *= kept
+        self.others_succeeded *= kept
+
+    @property
+    def is_at_fault(self) -> bool:
+        """Whether the account fails where the others succeed."""
+        seen = self.failed + self.succeeded
+        others = self.others_failed + self.others_succeeded
+        if not seen or others < _LEAST_OTHERS:
+            return False
+        share = self.failed / seen
+        return share > _TIMES_RARER * self.others_failed / others
+
+
 @attrs.define(eq=False)
 class TargetEvidence:
     """What the leader knows of one target."""
@@ -25,6 +65,7 @@
     ready_at: float = 0
     load: float = 0
     rows: list[tuple[VmId, OutcomeRow]] = attrs.field(factory=list)
+    shares: dict[int, AccountShare] = attrs.field(factory=dict)
     failed: Score = attrs.field(factory=Score)
     slow: Score = attrs.field(factory=Score)
     fail_rate: Rate = attrs.field(factory=Rate)
@@ -48,11 +89,18 @@
         """Smooth the slots in use over all VMs."""
         self.load += _LOAD_SHARE * (load - self.load)
 
-    def take_rows(self) -> list[tuple[VmId, OutcomeRow]]:
-        """Return the rows since the last call."""
+    def count_rows(self, kept: float) -> Counts:
+        """Return the sum of the rows since the last call.
+
+        Parameters
+        ----------
+        kept
+            Part of what was known of accounts before that still counts.
+
+        """
         rows = self.rows
         self.rows = []
-        return rows
+        return Counts.collect(rows, self._find_bad_accounts(rows, kept))
 
     def strongest(self) -> tuple[float, str, Score]:
         """Return the larger score, its reason and its parts."""
@@ -60,6 +108,27 @@
             return self.failed.total, 'failing', self.failed
         return self.slow.total, 'slow', self.slow
 
+    def _find_bad_accounts(
+        self, rows: list[tuple[VmId, OutcomeRow]], kept: float
+    ) -> frozenset[int]:
+        """Return the accounts whose failures say nothing about the target."""
+        for before in self.shares.values():
+            before.decay(kept)
+        for _, row in rows:
+            # Other rows don't say which accounts succeeded.
+            if row.account_failed:
+                self.shares.setdefault(row.account, AccountShare()).add(row)
+        self.shares = {
+            account: share
+            for account, share in self.shares.items()
+            if share.failed >= _FORGOTTEN
+        }
+        return frozenset(
+            account
+            for account, share in self.shares.items()
+            if share.is_at_fault
+        )
+
 
 @attrs.define(eq=False)
 class Counts:
@@ -74,12 +143,21 @@
     busy_ms: int = 0
 
     @classmethod
-    def collect(cls, rows: list[tuple[VmId, OutcomeRow]]) -> Counts:
-        """Sum rows; failures of one account count up to a cap."""
+    def collect(
+        cls,
+        rows: list[tuple[VmId, OutcomeRow]],
+        bad_accounts: frozenset[int],
+    ) -> Counts:
+        """Sum rows; failures of one account count up to a cap.
+
+        Those of bad accounts don't count at all.
+        """
         counts = cls()
         by_account: dict[int, int] = defaultdict(int)
         for vm, row in rows:
             room = max(0, _MOST_ACCOUNT_FAILURES - by_account[row.account])
+            if row.account in bad_accounts:
+                room = 0
             by_account[row.account] += row.account_failed
             excess = max(0, row.account_failed - room)
             counts.add_row(vm, row, row.failed - excess)
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -22,6 +22,8 @@
         32-bit hash of the account with most failures, 0 without failures.
     account_failed
         Failures of that account, included in ``failed``.
+    account_succeeded
+        Successes of that account, included in ``succeeded``.
 
     """
 
@@ -33,6 +35,7 @@
     busy_ms: int
     account: int = 0
     account_failed: int = 0
+    account_succeeded: int = 0
 
 
 class OutcomeReport(Message, frozen=True, array_like=True, tag=600):  # noqa: WPS432 (tag)
--- a/src/cranberryseam/routing/pool.py
+++ b/src/cranberryseam/routing/pool.py
@@ -232,7 +232,7 @@
         batch_kept = forget_factor(elapsed * _BATCH_SPEED)
         counted = {}
         for name, evidence in self.targets.items():
-            counted[name] = Counts.collect(evidence.take_rows())
+            counted[name] = evidence.count_rows(kept)
             counted[name].add_rates(evidence, kept, batch_kept)
             evidence.learn_load(counted[name].busy_ms / _MS / elapsed)
         failed, slow = self._baselines()
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -110,8 +110,9 @@
 
     def _base_cost(self, target: Target) -> float:
         """Weigh distance and the chance of a failure together."""
-        retriable = self._request.retriable
-        risk = _RISK_REPEATABLE if retriable else _RISK_ONCE
+        # Most routes allow two attempts, so a second one is the last.
+        repeats = self._request.retriable and self._request.attempt == 1
+        risk = _RISK_REPEATABLE if repeats else _RISK_ONCE
         chance = target.failure_chance(self._at)
         return risk * chance + _DISTANCE_COSTS[target.distance]
 
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -45,6 +45,7 @@
     shed: int = 0
     busy_s: float = 0
     accounts: Counter[str] = attrs.field(factory=Counter)
+    served: Counter[str] = attrs.field(factory=Counter)
 
     def to_row(self, key: int) -> OutcomeRow:
         """Return the row of a report."""
@@ -60,6 +61,7 @@
             round(self.busy_s * _MS),
             hash_name(account) if account else 0,
             account_failed,
+            self.served[account],
         )
 
 
