Serve percentiles of durations on the metrics address; keep idle callers for 65 s

Cause: the users asked for latency histograms beside the counters; only counters were served. A configuration may state an idle time above the 20 s after which the listener closed connections that callers still reuse.

Change: requests answered and refused and attempts by outcome are recorded in histograms; the text has their number and percentiles.

--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -145,6 +145,14 @@
     by: int = 1
 
 
+@attrs.frozen
+class ObserveLatency(Effect):
+    """Add a duration in seconds to a histogram, named with dots."""
+
+    name: str
+    seconds: float
+
+
 @attrs.frozen
 class WriteLog(Effect):
     """Write a structured log line.
@@ -182,6 +190,7 @@
     'Effect',
     'ForwardAnswer',
     'IncrementCounter',
+    'ObserveLatency',
     'RefuseRequest',
     'RegisterPeer',
     'ReplayAnswer',
--- a/src/cranberryseam/daemon/executor.py
+++ b/src/cranberryseam/daemon/executor.py
@@ -7,7 +7,13 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from ..core.effects import Effect, IncrementCounter, StopProcess, WriteLog
+from ..core.effects import (
+    Effect,
+    IncrementCounter,
+    ObserveLatency,
+    StopProcess,
+    WriteLog,
+)
 from ..core.events import Event, PauseSuspected
 from ..core.node import Node
 from .clock import Clock
@@ -109,13 +115,20 @@
                 self._execute(effect)
 
     def _execute(self, effect: Effect) -> None:
-        if isinstance(effect, IncrementCounter):
-            self._metrics.increment(effect.name, effect.by)
-        elif isinstance(effect, WriteLog):
-            self._log(effect)
-        elif isinstance(effect, StopProcess):
-            self._stop()
-        elif not any(handler(effect) for handler in self._handlers):
+        match effect:
+            case IncrementCounter():
+                self._metrics.increment(effect.name, effect.by)
+            case ObserveLatency():
+                self._metrics.observe(effect.name, effect.seconds)
+            case WriteLog():
+                self._log(effect)
+            case StopProcess():
+                self._stop()
+            case _:
+                self._pass_on(effect)
+
+    def _pass_on(self, effect: Effect) -> None:
+        if not any(handler(effect) for handler in self._handlers):
             _logger.error(
                 'no handler for an effect',
                 extra={'fields': {'effect': type(effect).__name__}},
--- a/src/cranberryseam/daemon/metrics.py
+++ b/src/cranberryseam/daemon/metrics.py
@@ -1,13 +1,14 @@
-"""Counters: kept for the administration API and sent by statsd."""
+"""Counters and histograms: served as text, counters also sent by statsd."""
 
 from __future__ import annotations
 
 import logging
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 import anyio
+from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
 from ..configuration.settings import StatsdSettings
@@ -19,11 +20,18 @@
 # Readers of the text take no dots or dashes in names.
 _UNDERSCORES: Final = str.maketrans('.-', '__')
 
+# Durations are kept in milliseconds, up to the longest that a caller may
+# wait, with two digits.
+_MS: Final = 1000
+_MOST_MS: Final = 300_000
+_DIGITS: Final = 2
+_PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
+
 _logger = logging.getLogger(__name__)
 
 
 class Metrics:
-    """Counts by name.
+    """Counts and durations by name.
 
     Parameters
     ----------
@@ -37,6 +45,7 @@
         self._counts: Counter[str] = Counter()
         self._unsent: Counter[str] = Counter()
         self._logged: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
         self._client: StatsClient | None = None
         if settings.port:
             self._client = StatsClient(
@@ -54,12 +63,23 @@
         if self._client is not None:
             self._unsent[name] += by
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, _MOST_MS, _DIGITS)
+            self._histograms[name] = histogram
+        milliseconds = int(seconds * _MS)
+        histogram.record_value(max(1, min(milliseconds, _MOST_MS)))
+
     def render(self) -> str:
-        """Return the counters as text, one per line."""
+        """Return counters and percentiles of durations, one per line."""
         lines = [
             f'{name.translate(_UNDERSCORES)} {count}'
             for name, count in sorted(self._counts.items())
         ]
+        for name, histogram in sorted(self._histograms.items()):
+            lines.extend(_render_histogram(name, histogram))
         return '\n'.join((*lines, ''))
 
     async def run(self) -> None:
@@ -92,4 +112,14 @@
         self._unsent.clear()
 
 
+def _render_histogram(name: str, histogram: HdrHistogram) -> Iterator[str]:
+    """Yield the number of durations and their percentiles."""
+    prefix = name.translate(_UNDERSCORES)
+    yield f'{prefix}_ms_count {histogram.get_total_count()}'
+    for percentile in _PERCENTILES:
+        milliseconds = histogram.get_value_at_percentile(percentile)
+        label = f'ms_p{percentile:g}'.translate(_UNDERSCORES)
+        yield f'{prefix}_{label} {milliseconds}'
+
+
 __all__ = ('Metrics',)
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -236,6 +236,7 @@
             *outputs,
             fx.ForwardAnswer(state.request_id, event.attempt_id),
             fx.IncrementCounter(f'answers.{outcome.value}'),
+            fx.ObserveLatency('requests.answered', event.at - state.arrived_at),
         ]
 
     def _take_retry(
--- a/src/cranberryseam/requests/endings.py
+++ b/src/cranberryseam/requests/endings.py
@@ -57,7 +57,13 @@
         told = doubt_refusal(refusal, is_unclaimed_copy(state))
         claim = self.complete_claim(state, refusal.ran, at)
         line = describe_refusal(state, told, at)
-        return [*claim, line, *render_refusal(state.request_id, told)]
+        age_s = at - state.arrived_at
+        return [
+            *claim,
+            line,
+            fx.ObserveLatency('requests.refused', age_s),
+            *render_refusal(state.request_id, told),
+        ]
 
     def abandon(self, state: RequestState, at: float) -> _Outputs:
         """End a request in any stage without telling the caller."""
@@ -103,9 +109,10 @@
         flight.released = True
         latency_s = at - flight.started_at
         router = self.collaborators.router
-        return list(
-            router.release(flight.slot_id, outcome, at, latency_s=latency_s)
-        )
+        return [
+            fx.ObserveLatency(f'attempts.{outcome.value}', latency_s),
+            *router.release(flight.slot_id, outcome, at, latency_s=latency_s),
+        ]
 
     def cancel_flights(
         self, state: RequestState, outcome: AttemptOutcome, at: float
--- a/src/cranberryseam/serving/listener.py
+++ b/src/cranberryseam/serving/listener.py
@@ -13,9 +13,10 @@
 from ..configuration.settings import RequestSettings
 from .asgi import App
 
-# Idle connections of callers are kept this long; also the time within which
-# a connection must bring the whole head of its first request.
-KEEP_ALIVE_S = 20.0
+# Idle connections of callers are kept this long, longer than the idle time that
+# operators usually state to callers; also the time within which a connection
+# must bring the whole head of its first request.
+KEEP_ALIVE_S = 65.0
 _BACKLOG = 512
 # The server closes a connection after this many requests.
 _REQUESTS_PER_CONNECTION = 1_000_000
