--- a/src/cranberryseam/daemon/metrics.py
+++ b/src/cranberryseam/daemon/metrics.py
@@ -25,7 +25,12 @@
 _MS: Final = 1000
 _MOST_MS: Final = 300_000
 _DIGITS: Final = 2
-_PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
+_PERCENTILES: Final = (
+    ('p50', 50.0),
+    ('p90', 90.0),
+    ('p99', 99.0),
+    ('p99_9', 99.9),
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -116,10 +121,9 @@
     """Yield the number of durations and their percentiles."""
     prefix = name.translate(_UNDERSCORES)
     yield f'{prefix}_ms_count {histogram.get_total_count()}'
-    for percentile in _PERCENTILES:
+    for label, percentile in _PERCENTILES:
         milliseconds = histogram.get_value_at_percentile(percentile)
-        label = f'ms_p{percentile:g}'.translate(_UNDERSCORES)
-        yield f'{prefix}_{label} {milliseconds}'
+        yield f'{prefix}_ms_{label} {milliseconds}'
 
 
 __all__ = ('Metrics',)
