Prefer targets to which a VM probably has an idle connection

Change: the plan counts 0.1 of a target's capacity for a target without a success of this VM in the last 4 s.

--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -98,7 +98,7 @@
             return
         failed = outcome in _FAULTS
         if not failed:
-            self.target.learn_success(took_s)
+            self.target.learn_success(at, took_s)
             lane = self.state.lane(self.request.lane)
             lane.latency.record(at, took_s)
         self._count(outcome, at, failed=failed, slow=slow)
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -32,6 +32,8 @@
 _RISK_REPEATABLE = 3.0
 # An answer from another region costs bytes on billed links and 60 ms.
 _DISTANCE_COSTS = (0, 0.15, 1.0)
+# A new connection takes a round trip, and a slot of the target for a moment.
+_CONNECT_COST = 0.1
 # Slots of one region that are planned for before the leader tells more.
 _LEAST_DEMAND = 1.0
 
@@ -114,7 +116,8 @@
         repeats = self._request.retriable and self._request.attempt == 1
         risk = _RISK_REPEATABLE if repeats else _RISK_ONCE
         chance = target.failure_chance(self._at)
-        return risk * chance + _DISTANCE_COSTS[target.distance]
+        cost = risk * chance + _DISTANCE_COSTS[target.distance]
+        return cost if self._at < target.warm_until else cost + _CONNECT_COST
 
     def _find_trial(self) -> Target | None:
         request = self._request
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -28,6 +28,8 @@
 _SUSPECT_FAILURES = 2.0
 _LOAD_SHARE = 0.5
 _LATENCY_SHARE = 0.05
+# Idle connections to targets are kept this long if targets say nothing.
+_WARM_S = 4.0
 
 
 def hash_name(name: str) -> int:
@@ -85,6 +87,8 @@
         What all VMs together saw of it lately.
     path
         What this VM saw of it itself, which the path to it may cause.
+    warm_until
+        Until then this VM probably has an idle connection to it.
 
     """
 
@@ -109,6 +113,7 @@
     tally: Tally | None = None
     belief: Belief = attrs.field(factory=Belief)
     path: Belief = attrs.field(factory=Belief)
+    warm_until: float = float('-inf')
 
     @property
     def usable(self) -> bool:
@@ -174,8 +179,9 @@
             self.seen *= kept
             self.decayed_at = at
 
-    def learn_success(self, took_s: float) -> None:
+    def learn_success(self, at: float, took_s: float) -> None:
         """Allow more after a success, up to all slots."""
+        self.warm_until = at + _WARM_S
         self.pace = min(_MOST_PACE, self.pace + _PACE_STEP)
         share = _LATENCY_SHARE if self.latency_s else 1
         self.latency_s += share * (took_s - self.latency_s)
--- a/tests/routing/test_spreading.py
+++ b/tests/routing/test_spreading.py
@@ -15,7 +15,7 @@
 )
 from cranberryseam.core.events import Started
 from cranberryseam.core.notices import SlotAssigned, TargetChanged
-from cranberryseam.routing import ATTACHED, AdmitRequest, Router
+from cranberryseam.routing import ATTACHED, AdmitRequest, AttemptOutcome, Router
 from cranberryseam.routing.health import Evidence
 from cranberryseam.routing.spreading import MOST_LOAD, Offer, plan_loads
 from cranberryseam.types import AccountId, RequestId, ServiceName
@@ -119,6 +119,29 @@
         self.assertEqual({'t0', 't1'}, set(chosen))
         self.assertGreater(min(chosen.values()), VMS / 5)
 
+    def test_connections_are_used_again(self) -> None:
+        """Guards against a new connection for each request of a VM that sees
+        few of them: more than a third of all requests opened one.
+        """
+        router = self._build(1)
+        state = router._services[SERVICE]
+        state.demand = 4
+        chosen: list[str] = []
+        for number in range(40):
+            at = 1 + number * 0.7
+            for target in state.targets.values():
+                target.belief.set_to(0.03, at)
+                target.path.set_to(0.03, at)
+            chosen.append(self._choose(router, number, at))
+            router.release(
+                RequestId(number), AttemptOutcome.succeeded, at + 0.2, 0.2
+            )
+        again = sum(
+            target in chosen[max(0, number - 5) : number]
+            for number, target in enumerate(chosen)
+        )
+        self.assertGreater(again, len(chosen) / 2)
+
     def test_bad_targets_take_what_has_no_room(self) -> None:
         """Guards against a full queue at the only good target while others
         may work again.
