Tell all VMs when targets forget idle connections

Ruled out: a new connection for each such request at all times; it costs a round trip and a slot of the target on each.

Change: a reset within 0.1 s on a connection that was used before is reported as closed_idle. It is weak evidence about the target; the VM tells the leader, the leader all VMs, and for 10 s connections of the service that rested longer than 0.2 s aren't used.

--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -68,6 +69,8 @@
         True if a small whole answer must be reported in ``AnswerReady``.
     account
         Client account whose request it is, empty on a public route.
+    most_rest_s
+        Seconds for which a connection may have been idle to be used again.
 
     """
 
@@ -79,6 +82,7 @@
     timeout_s: float
     keep_answer: bool = False
     account: str = ''
+    most_rest_s: float = math.inf
 
 
 @attrs.frozen
--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -162,13 +162,18 @@
 
 
 class AttemptFailure(Enum):
-    """How an attempt ended without a usable answer."""
+    """How an attempt ended without a usable answer.
+
+    ``closed_idle`` is a connection that the target had closed while it was
+    idle; like ``no_answer`` it doesn't tell whether the request ran.
+    """
 
     not_connected = 'not_connected'
     not_sent = 'not_sent'
     no_answer = 'no_answer'
     timed_out = 'timed_out'
     answer_invalid = 'answer_invalid'
+    closed_idle = 'closed_idle'
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -81,7 +81,12 @@
         flight = self._numbers.open_flight(notice)
         state.flight = flight
         return [
-            build_start(state, flight, notice),
+            build_start(
+                state,
+                flight,
+                notice,
+                self._router.most_rest_s(state.service, notice.at),
+            ),
             *self._hedging.arm(state, notice.at),
         ]
 
--- a/src/cranberryseam/requests/collaborators.py
+++ b/src/cranberryseam/requests/collaborators.py
@@ -61,6 +61,9 @@
     ) -> SlotAssigned | None:
         """Assign a slot at a target that wasn't tried, if one is free."""
 
+    def most_rest_s(self, service: ServiceName, at: float) -> float:
+        """Return for how long a connection may rest to be used again."""
+
     def hedge_delay_s(
         self, service: ServiceName, at: float, objective_s: float = 0
     ) -> float | None:
--- a/src/cranberryseam/requests/flights.py
+++ b/src/cranberryseam/requests/flights.py
@@ -62,9 +62,19 @@
 
 
 def build_start(
-    state: RequestState, flight: Flight, assigned: nt.SlotAssigned
+    state: RequestState,
+    flight: Flight,
+    assigned: nt.SlotAssigned,
+    most_rest_s: float,
 ) -> fx.StartAttempt:
-    """Return the effect that sends the request to its target."""
+    """Return the effect that sends the request to its target.
+
+    Parameters
+    ----------
+    most_rest_s
+        Seconds for which its connection may have been idle.
+
+    """
     return fx.StartAttempt(
         request_id=state.request_id,
         attempt_id=flight.attempt_id,
@@ -74,6 +84,7 @@
         timeout_s=state.deadline_at - assigned.at,
         keep_answer=state.claimed,
         account='' if state.key_hash is None else state.account,
+        most_rest_s=most_rest_s,
     )
 
 
--- a/src/cranberryseam/requests/hedging.py
+++ b/src/cranberryseam/requests/hedging.py
@@ -152,7 +152,12 @@
         return [
             fx.IncrementCounter('hedges.started'),
             describe_rival(state, rival, at),
-            build_start(state, rival, assigned),
+            build_start(
+                state,
+                rival,
+                assigned,
+                self._router.most_rest_s(state.service, at),
+            ),
         ]
 
     def _may_hedge(self, state: RequestState) -> bool:
--- a/src/cranberryseam/requests/outcomes.py
+++ b/src/cranberryseam/requests/outcomes.py
@@ -52,6 +52,8 @@
         return AttemptOutcome.not_connected
     if failure is AttemptFailure.timed_out:
         return AttemptOutcome.timed_out
+    if failure is AttemptFailure.closed_idle:
+        return AttemptOutcome.closed_idle
     return AttemptOutcome.failed
 
 
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -14,6 +14,7 @@
     import random
 
 _FAR = 2
+_BLAMELESS = frozenset((AttemptOutcome.rejected, AttemptOutcome.closed_idle))
 _UNFINISHED = frozenset((AttemptOutcome.cancelled, AttemptOutcome.outrun))
 _FAULTS = frozenset(
     (
@@ -89,7 +90,7 @@
             self.target.back_off(at, rng.random())
             return
         self.state.lane(self.request.lane).count_end()
-        if outcome is AttemptOutcome.rejected:
+        if outcome in _BLAMELESS:
             return
         slow = self.is_slow(at, took_s)
         if outcome in _UNFINISHED:
--- a/src/cranberryseam/routing/health.py
+++ b/src/cranberryseam/routing/health.py
@@ -39,8 +39,9 @@
     # No connection, or no answer in time: the cause may be the path, or the
     # request itself.
     silence = 2
-    # Refused for lack of room, or outrun by a second attempt: the cause may be
-    # the load of all VMs, or a long request.
+    # Refused for lack of room, outrun by a second attempt, or lost with an idle
+    # connection: the cause may be the load of all VMs, a long request, or
+    # something between here and the target.
     strain = 3
 
 
@@ -62,6 +63,7 @@
         AttemptOutcome.not_connected: Evidence.silence,
         AttemptOutcome.shed: Evidence.strain,
         AttemptOutcome.outrun: Evidence.strain,
+        AttemptOutcome.closed_idle: Evidence.strain,
     }
 )
 
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -143,6 +143,15 @@
     units: int
 
 
+class IdleClosed(Message, frozen=True, array_like=True, tag=606):  # noqa: WPS432 (tag)
+    """Targets of a service close idle connections sooner than they say.
+
+    A VM tells the leader, and the leader all VMs.
+    """
+
+    service: str
+
+
 MESSAGES: tuple[type[Message], ...] = (
     OutcomeReport,
     ServiceView,
@@ -150,6 +159,7 @@
     HealthTold,
     BudgetAsked,
     BudgetGiven,
+    IdleClosed,
 )
 
 __all__ = (
@@ -159,6 +169,7 @@
     'EjectedRow',
     'HealthSeen',
     'HealthTold',
+    'IdleClosed',
     'OutcomeReport',
     'OutcomeRow',
     'ServiceView',
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -20,7 +20,8 @@
     ``rejected`` is a response that blames the request (4xx), ``shed`` a
     response that says the target is overloaded, ``cancelled`` an attempt that
     the caller did not wait for, ``outrun`` one whose request was answered by
-    a second attempt.
+    a second attempt, ``closed_idle`` one that met a connection which the
+    target had closed while it was idle.
     """
 
     succeeded = 'succeeded'
@@ -31,6 +32,7 @@
     timed_out = 'timed_out'
     cancelled = 'cancelled'
     outrun = 'outrun'
+    closed_idle = 'closed_idle'
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/cranberryseam/routing/resting.py
@@ -0,0 +1,85 @@
+"""Idle connections that targets close sooner than they say.
+
+What is sent on such a connection is lost, and a request that may run only once
+can't be sent again. So the first VM that meets one tells all others through
+the leader, and for a while nobody uses connections that have rested.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+from ..core.effects import SendMessage
+from .leading import shard_key
+from .messages import IdleClosed
+from .model import Leaders
+
+if TYPE_CHECKING:
+    from ..types import Output, ServiceName, VmId
+
+# Connections closed after 300 ms of rest have been seen.
+SHORT_REST_S: Final = 0.2
+# Without another sign the trouble is over after this.
+DISTRUSTED_S: Final = 10.0
+# VMs that meet closed connections at the same time need one message.
+_TOLD_AGAIN_S: Final = 2.0
+
+
+class Resting:
+    """How long connections of each service may rest.
+
+    Parameters
+    ----------
+    region
+        Region of the VM; the leader of its services is told.
+    leaders
+        Who leads.
+
+    """
+
+    def __init__(self, region: str, leaders: Leaders) -> None:
+        """Trust all idle connections."""
+        self._region = region
+        self._leaders = leaders
+        self._vms: set[VmId] = set()
+        self._seen_at: dict[str, float] = {}
+        self._told_at: dict[str, float] = {}
+
+    def add_vm(self, vm: VmId) -> None:
+        """Tell a VM from now on."""
+        self._vms.add(vm)
+
+    def remove_vm(self, vm: VmId) -> None:
+        """Tell a VM no longer."""
+        self._vms.discard(vm)
+
+    def most_rest_s(self, service: str, at: float) -> float:
+        """Return for how long a connection may rest to be used again."""
+        seen_at = self._seen_at.get(service, -math.inf)
+        return SHORT_REST_S if at - seen_at < DISTRUSTED_S else math.inf
+
+    def note(self, service: ServiceName, at: float) -> list[Output]:
+        """Distrust a service's connections, and report it."""
+        self._seen_at[service] = at
+        key = shard_key(service)
+        leader = self._leaders.leader_of(self._region, key)
+        if leader is None:
+            return []
+        return [SendMessage(leader, IdleClosed(service))]
+
+    def receive(self, closed: IdleClosed, at: float) -> list[Output]:
+        """Distrust a service's connections; as the leader, tell all VMs."""
+        service = closed.service
+        self._seen_at[service] = at
+        key = shard_key(service)
+        if not self._leaders.is_leader(self._region, key, at):
+            return []
+        told_at = self._told_at.get(service, -math.inf)
+        if at - told_at < _TOLD_AGAIN_S:
+            return []
+        self._told_at[service] = at
+        return [SendMessage(vm, closed) for vm in sorted(self._vms)]
+
+
+__all__ = ('DISTRUSTED_S', 'SHORT_REST_S', 'Resting')
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -40,6 +40,7 @@
     BudgetGiven,
     HealthSeen,
     HealthTold,
+    IdleClosed,
     OutcomeReport,
     ServiceView,
 )
@@ -52,15 +53,16 @@
     Tuning,
 )
 from .reporting import Reporting, take_view
+from .resting import Resting
 from .service import ServiceState
 from .shared_budget import SharedRetries
 from .sharing import TELL, HealthSharing
 from .target import Target, hash_name
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
-    from ..configuration.settings import Settings
+    from ..configuration.settings import Settings, VmSettings
     from ..core.events import Announcement
     from ..types import (
         AccountId,
@@ -130,6 +132,7 @@
         self._sharing = HealthSharing(
             settings.vm.region, ownership, self._places
         )
+        self._resting = Resting(settings.vm.region, ownership)
         self._started_at: float = 0
         self._decayed_at: float = 0
 
@@ -248,6 +251,10 @@
             return True
         return self._budgets.take(service, account, at)
 
+    def most_rest_s(self, service: ServiceName, at: float) -> float:
+        """Return for how long a connection may rest to be used again."""
+        return self._resting.most_rest_s(service, at)
+
     def hedge_delay_s(
         self, service: ServiceName, at: float, objective_s: float = 0
     ) -> float | None:
@@ -288,10 +295,12 @@
         match event:
             case MemberChanged(vm=vm, region=region, status=MemberStatus.alive):
                 self._sharing.add_vm(vm, region)
+                self._resting.add_vm(vm)
             case MemberChanged(vm=vm, status=status):
                 if status in _GONE:
                     self._leading.forget_vm(vm)
                     self._sharing.remove_vm(vm)
+                    self._resting.remove_vm(vm)
             case LeadershipChanged():
                 self._leading.check_leadership(event.at)
             case FleetCounted(vms=vms):
@@ -310,6 +319,8 @@
         if evidence is None:
             return []
         shared = self._sharing.note(assignment.target, evidence, at)
+        if outcome is AttemptOutcome.closed_idle:
+            shared += self._resting.note(assignment.state.name, at)
         return self._deliver(shared, at)
 
     def _start(self, at: float) -> list[Output]:
@@ -404,6 +415,9 @@
                 return self._deliver(given, at)
             case BudgetGiven() as given:
                 self._retries.allowance.receive(given)
+            case IdleClosed() as closed:
+                told_all = self._resting.receive(closed, at)
+                return self._deliver(told_all, at)
             case HealthTold() as told:
                 self._sharing.take(told, at)
         return []
@@ -456,19 +470,8 @@
             state.touched.pop(announcement.target, None)
         return self._admission.dispatch(state, at)
 
-    def _measure_distance(self, announcement: Announcement) -> int:
-        """Return 0 in the own data centre, 1 in the own region, else 2."""
-        own = self._vm.region
-        other = announcement.region
-        if self._places:
-            own = self._places.get(self._vm.data_centre, own)
-            other = self._places.get(announcement.data_centre, '')
-        if own != other:
-            return 2
-        return int(announcement.data_centre != self._vm.data_centre)
-
     def _create_target(self, announcement: Announcement, at: float) -> Target:
-        distance = self._measure_distance(announcement)
+        distance = _measure_distance(self._vm, self._places, announcement)
         target = Target(announcement, hash_name(announcement.target), distance)
         target.limit = float(announcement.slots)
         target.used_at = at
@@ -478,6 +481,20 @@
         return target
 
 
+def _measure_distance(
+    vm: VmSettings, places: Mapping[str, str], announcement: Announcement
+) -> int:
+    """Return 0 in the own data centre, 1 in the own region, else 2."""
+    own = vm.region
+    other = announcement.region
+    if places:
+        own = places.get(vm.data_centre, own)
+        other = places.get(announcement.data_centre, '')
+    if own != other:
+        return 2
+    return int(announcement.data_centre != vm.data_centre)
+
+
 def _count_regions(settings: Settings) -> int:
     return max(1, len({region for _, region in settings.places}))
 
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -65,7 +65,9 @@
         self._trace = WriteTrace()
         self._go: asyncio.Future[None] = loop.create_future()
         self._response: httpx.Response | None = None
-        self._connection = ports.upstream.take((effect.host, effect.port))
+        self._connection = ports.upstream.take(
+            (effect.host, effect.port), effect.most_rest_s
+        )
         self._released = False
         self._ready = False
         self._forwarding = False
@@ -179,9 +181,14 @@
                 await send_body(send, chunk, more)
 
     def _classify(self) -> AttemptFailure:
-        if self._trace.sent:
-            return AttemptFailure.no_answer
-        return AttemptFailure.not_sent
+        if not self._trace.sent:
+            return AttemptFailure.not_sent
+        unanswered = self._response is None
+        if unanswered and self._ports.upstream.was_closed_idle(
+            self._connection
+        ):
+            return AttemptFailure.closed_idle
+        return AttemptFailure.no_answer
 
     async def _release(self, *, reusable: bool) -> None:
         if self._released:
--- a/src/cranberryseam/serving/upstream.py
+++ b/src/cranberryseam/serving/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 import re
 import ssl
 from collections.abc import Callable, Iterable, Mapping
@@ -28,6 +29,8 @@
 # its way to it.
 _IDLE_MARGIN_S = 2.0
 _LONGEST_IDLE_S = 60.0
+# A round trip between regions takes 60 ms; work that fails takes longer.
+_RESET_S = 0.1
 _KEEP_ALIVE = re.compile(rb'(?:^|[ ,])timeout=(\d{1,5})')
 # More than the targets that one VM sends to.
 _REMEMBERED_ADDRESSES = 16_384
@@ -77,12 +80,18 @@
         Time until which it may be used again.
     kept_s
         Time for which it may stay idle.
+    idle_since
+        Time of its last use; None for a new one.
+    taken_at
+        Time at which the current request took it.
 
     """
 
     address: Address
     transport: httpx.AsyncHTTPTransport
+    taken_at: float
     idle_until: float = 0
+    idle_since: float | None = None
     kept_s: float = _IDLE_S
 
     def learn_idle_time(self, headers: HeaderList) -> None:
@@ -140,18 +149,41 @@
         self._sweeping: asyncio.Task[None] | None = None
         self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
-    def take(self, address: Address) -> TargetConnection:
-        """Return an idle connection to an address, or a new one."""
+    def take(
+        self, address: Address, most_rest_s: float = math.inf
+    ) -> TargetConnection:
+        """Return an idle connection to an address, or a new one.
+
+        Parameters
+        ----------
+        most_rest_s
+            Seconds for which it may have been idle.
+
+        """
+        now = self._clock()
         connections = self._idle.get(address)
-        if connections and self._clock() < connections[-1].idle_until:
-            return connections.pop()
+        if connections and _is_usable(connections[-1], most_rest_s, now):
+            connection = connections.pop()
+            connection.taken_at = now
+            return connection
         # If the last used one is too old, so are all others; ``sweep``
         # closes them.
-        return TargetConnection(address, self._open_transport())
+        return TargetConnection(address, self._open_transport(), now)
+
+    def was_closed_idle(self, connection: TargetConnection) -> bool:
+        """Return whether a failed request met a connection that was closed.
+
+        A target that closes an idle connection resets what is sent on it
+        within a round trip; one that fails on a request takes longer.
+        """
+        took_s = self._clock() - connection.taken_at
+        return connection.idle_since is not None and took_s < _RESET_S
 
     def put_back(self, connection: TargetConnection) -> None:
         """Keep a connection whose last answer was read to its end."""
-        connection.idle_until = self._clock() + connection.kept_s
+        now = self._clock()
+        connection.idle_since = now
+        connection.idle_until = now + connection.kept_s
         self._idle.setdefault(connection.address, []).append(connection)
         if self._sweep is None:
             loop = asyncio.get_running_loop()
@@ -206,6 +238,13 @@
         )
 
 
+def _is_usable(
+    connection: TargetConnection, most_rest_s: float, now: float
+) -> bool:
+    rested_s = now - (connection.idle_since or now)
+    return now < connection.idle_until and rested_s <= most_rest_s
+
+
 @functools.lru_cache(maxsize=_REMEMBERED_ADDRESSES)
 def _locate(address: Address) -> tuple[httpx.URL, bytes]:
     host, port = address
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import attrs
@@ -115,6 +116,10 @@
         (assigned,) = self.admit(request, at)
         return assigned
 
+    def most_rest_s(self, service: str, at: float) -> float:
+        """Return no bound."""
+        return math.inf
+
     def hedge_delay_s(
         self, service: str, at: float, objective_s: float = 0
     ) -> float | None:
