--- a/tests/integration/test_nodes.py
+++ b/tests/integration/test_nodes.py
@@ -950,7 +950,7 @@
             ),
             (1, 2),
         )
-        + with_seeds(('silent_origin_killed',), (5, 26))
+        + with_seeds(('silent_origin_killed',), (5, 26, 4, 8))
     )
     def test_leaving(self, _name: str, case: str, seed: int) -> None:
         """A draining or silent target gets no new work after 5 s."""
