--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -69,7 +69,7 @@
         True if a small whole answer must be reported in ``AnswerReady``.
     account
         Client account whose request it is, empty on a public route.
-    most_rest_s
+    most_idle_s
         Seconds for which a connection may have been idle to be used again.
 
     """
@@ -82,7 +82,7 @@
     timeout_s: float
     keep_answer: bool = False
     account: str = ''
-    most_rest_s: float = math.inf
+    most_idle_s: float = math.inf
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -85,7 +85,7 @@
                 state,
                 flight,
                 notice,
-                self._router.most_rest_s(state.service, notice.at),
+                self._router.most_idle_s(state.service, notice.at),
             ),
             *self._hedging.arm(state, notice.at),
         ]
@@ -169,12 +169,12 @@
     ) -> _Outputs:
         state.may_have_run = state.may_have_run or not event.not_run
         faulty = is_faulty(outcome)
-        if faulty and state.rival is not None:
-            return self._follow_rival(state, outcome, event.at)
-        hedged = self._hedging.end_rival(state, event.at)
+        if faulty and state.hedge is not None:
+            return self._follow_hedge(state, outcome, event.at)
+        hedged = self._hedging.end_hedge(state, event.at)
         return [*hedged, *self._settle(state, event, outcome)]
 
-    def _follow_rival(
+    def _follow_hedge(
         self, state: RequestState, outcome: AttemptOutcome, at: float
     ) -> _Outputs:
         """Wait for the second attempt after a faulty answer of the first."""
--- a/src/cranberryseam/requests/collaborators.py
+++ b/src/cranberryseam/requests/collaborators.py
@@ -61,7 +61,7 @@
     ) -> SlotAssigned | None:
         """Assign a slot at a target that wasn't tried, if one is free."""
 
-    def most_rest_s(self, service: ServiceName, at: float) -> float:
+    def most_idle_s(self, service: ServiceName, at: float) -> float:
         """Return for how long a connection may rest to be used again."""
 
     def hedge_delay_s(
--- a/src/cranberryseam/requests/endings.py
+++ b/src/cranberryseam/requests/endings.py
@@ -119,11 +119,11 @@
     ) -> _Outputs:
         """End all attempts of a request that are under way."""
         outputs: _Outputs = []
-        for flight in (state.flight, state.rival):
+        for flight in (state.flight, state.hedge):
             if flight is not None:
                 outputs += self.release_flight(flight, outcome, at)
                 outputs.append(cancel_flight(state, flight))
-        state.rival = None
+        state.hedge = None
         return outputs
 
     def complete_claim(
--- a/src/cranberryseam/requests/flights.py
+++ b/src/cranberryseam/requests/flights.py
@@ -65,13 +65,13 @@
     state: RequestState,
     flight: Flight,
     assigned: nt.SlotAssigned,
-    most_rest_s: float,
+    most_idle_s: float,
 ) -> fx.StartAttempt:
     """Return the effect that sends the request to its target.
 
     Parameters
     ----------
-    most_rest_s
+    most_idle_s
         Seconds for which its connection may have been idle.
 
     """
@@ -84,7 +84,7 @@
         timeout_s=state.deadline_at - assigned.at,
         keep_answer=state.claimed,
         account='' if state.key_hash is None else state.account,
-        most_rest_s=most_rest_s,
+        most_idle_s=most_idle_s,
     )
 
 
--- a/src/cranberryseam/requests/hedging.py
+++ b/src/cranberryseam/requests/hedging.py
@@ -15,7 +15,7 @@
 from ..types import Output, RequestId
 from .endings import Endings, cancel_flight
 from .flights import FlightNumbers, build_admit, build_start
-from .lines import describe_attempt, describe_rival
+from .lines import describe_attempt, describe_hedge
 from .outcomes import classify_answer, classify_failure, is_faulty
 from .state import Flight, RequestState, Stage
 
@@ -83,15 +83,15 @@
     def fail(self, event: ev.AttemptFailed) -> _Outputs:
         """Go on with the first attempt alone after the second failed."""
         state = self._find(event.request_id, event.attempt_id)
-        if state is None or state.rival is None:
+        if state is None or state.hedge is None:
             return []
-        rival = state.rival
-        state.rival = None
+        hedge = state.hedge
+        state.hedge = None
         outcome = classify_failure(event.failure)
         line = describe_attempt(
-            state, rival, event.failure.value, event.at, sent=event.sent
+            state, hedge, event.failure.value, event.at, sent=event.sent
         )
-        return [line, *self._endings.release_flight(rival, outcome, event.at)]
+        return [line, *self._endings.release_flight(hedge, outcome, event.at)]
 
     def take_answer(self, event: ev.AnswerReady) -> _Outputs:
         """Let a good answer of the second attempt decide; drop any other.
@@ -103,10 +103,10 @@
 
         """
         state = self._find(event.request_id, event.attempt_id)
-        if state is None or state.rival is None:
+        if state is None or state.hedge is None:
             return []
         if is_faulty(classify_answer(event)):
-            return self._drop_rival(state, event)
+            return self._drop_hedge(state, event)
         first = state.flight
         if first is None:
             return []
@@ -119,23 +119,23 @@
             ),
         ]
 
-    def end_rival(self, state: RequestState, at: float) -> _Outputs:
+    def end_hedge(self, state: RequestState, at: float) -> _Outputs:
         """Cancel the second attempt because the first has an answer."""
-        rival = state.rival
-        if rival is None:
+        hedge = state.hedge
+        if hedge is None:
             return []
-        state.rival = None
+        state.hedge = None
         return [
-            cancel_flight(state, rival),
-            *self._endings.release_flight(rival, AttemptOutcome.cancelled, at),
+            cancel_flight(state, hedge),
+            *self._endings.release_flight(hedge, AttemptOutcome.cancelled, at),
         ]
 
     def promote(self, state: RequestState) -> bool:
         """Let the second attempt decide after the first has failed."""
-        if state.rival is None:
+        if state.hedge is None:
             return False
-        state.flight = state.rival
-        state.rival = None
+        state.flight = state.hedge
+        state.hedge = None
         return True
 
     def _start(self, state: RequestState, first: Flight, at: float) -> _Outputs:
@@ -147,16 +147,16 @@
             return [fx.IncrementCounter('hedges.no_slot')]
         state.attempt += 1
         state.failures += 1
-        rival = self._numbers.open_flight(assigned)
-        state.rival = rival
+        hedge = self._numbers.open_flight(assigned)
+        state.hedge = hedge
         return [
             fx.IncrementCounter('hedges.started'),
-            describe_rival(state, rival, at),
+            describe_hedge(state, hedge, at),
             build_start(
                 state,
-                rival,
+                hedge,
                 assigned,
-                self._router.most_rest_s(state.service, at),
+                self._router.most_idle_s(state.service, at),
             ),
         ]
 
@@ -164,7 +164,7 @@
         most = state.route.most_attempts
         return (
             state.retriable
-            and state.rival is None
+            and state.hedge is None
             and not state.caller_left
             and state.failures < most - 1
         )
@@ -173,25 +173,25 @@
         self, request_id: RequestId, attempt_id: int
     ) -> RequestState | None:
         state = self._endings.find(request_id, Stage.answer)
-        rival = state.rival if state else None
-        if rival is None or rival.attempt_id != attempt_id:
+        hedge = state.hedge if state else None
+        if hedge is None or hedge.attempt_id != attempt_id:
             return None
         return state
 
-    def _drop_rival(
+    def _drop_hedge(
         self, state: RequestState, event: ev.AnswerReady
     ) -> _Outputs:
-        rival = state.rival
-        if rival is None:
+        hedge = state.hedge
+        if hedge is None:
             return []
-        state.rival = None
+        state.hedge = None
         outcome = classify_answer(event)
         return [
             describe_attempt(
-                state, rival, outcome.value, event.at, status=event.status
+                state, hedge, outcome.value, event.at, status=event.status
             ),
-            cancel_flight(state, rival),
-            *self._endings.release_flight(rival, outcome, event.at),
+            cancel_flight(state, hedge),
+            *self._endings.release_flight(hedge, outcome, event.at),
         ]
 
 
--- a/src/cranberryseam/requests/lines.py
+++ b/src/cranberryseam/requests/lines.py
@@ -66,13 +66,13 @@
     )
 
 
-def describe_rival(state: RequestState, rival: Flight, at: float) -> WriteLog:
+def describe_hedge(state: RequestState, hedge: Flight, at: float) -> WriteLog:
     """Return the line for a second attempt beside one that is late."""
     return _write(
         'second attempt started',
         state,
         at,
-        target=rival.target,
+        target=hedge.target,
         attempt=state.attempt,
         late_target=state.target,
     )
@@ -97,5 +97,5 @@
     'describe_attempt',
     'describe_early_refusal',
     'describe_refusal',
-    'describe_rival',
+    'describe_hedge',
 )
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -54,10 +54,10 @@
         True if its method may run more than once on this route.
     flight
         The attempt whose outcome decides on the request.
-    rival
+    hedge
         A second attempt, which may answer before the first.
     failures
-        Attempts that failed or got a rival, without those that a target
+        Attempts that failed or got a hedge, without those that a target
         shed.
     may_have_run
         True once a byte of an attempt may have reached a target that
@@ -97,7 +97,7 @@
     attempt: int = 0
     failures: int = 0
     flight: Flight | None = None
-    rival: Flight | None = None
+    hedge: Flight | None = None
     excluded: frozenset[TargetId] = frozenset()
     may_have_run: bool = False
     claimed: bool = False
--- a/src/cranberryseam/routing/resting.py
+++ b/src/cranberryseam/routing/idle.py
@@ -19,14 +19,14 @@
     from ..types import Output, ServiceName, VmId
 
 # Connections closed after 300 ms of rest have been seen.
-SHORT_REST_S: Final = 0.2
+SHORT_IDLE_S: Final = 0.2
 # Without another sign the trouble is over after this.
 DISTRUSTED_S: Final = 10.0
 # VMs that meet closed connections at the same time need one message.
 _TOLD_AGAIN_S: Final = 2.0
 
 
-class Resting:
+class IdleConnections:
     """How long connections of each service may rest.
 
     Parameters
@@ -54,10 +54,10 @@
         """Tell a VM no longer."""
         self._vms.discard(vm)
 
-    def most_rest_s(self, service: str, at: float) -> float:
+    def most_idle_s(self, service: str, at: float) -> float:
         """Return for how long a connection may rest to be used again."""
         seen_at = self._seen_at.get(service, -math.inf)
-        return SHORT_REST_S if at - seen_at < DISTRUSTED_S else math.inf
+        return SHORT_IDLE_S if at - seen_at < DISTRUSTED_S else math.inf
 
     def note(self, service: ServiceName, at: float) -> list[Output]:
         """Distrust a service's connections, and report it."""
@@ -82,4 +82,4 @@
         return [SendMessage(vm, closed) for vm in sorted(self._vms)]
 
 
-__all__ = ('DISTRUSTED_S', 'SHORT_REST_S', 'Resting')
+__all__ = ('DISTRUSTED_S', 'SHORT_IDLE_S', 'IdleConnections')
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -34,6 +34,7 @@
 from .budgets import RetryBudgets
 from .display import show_targets
 from .health import Evidence, classify_evidence
+from .idle import IdleConnections
 from .leading import DECIDE, Leading
 from .messages import (
     BudgetAsked,
@@ -53,7 +54,6 @@
     Tuning,
 )
 from .reporting import Reporting, take_view
-from .resting import Resting
 from .service import ServiceState
 from .shared_budget import SharedRetries
 from .sharing import TELL, HealthSharing
@@ -132,7 +132,7 @@
         self._sharing = HealthSharing(
             settings.vm.region, ownership, self._places
         )
-        self._resting = Resting(settings.vm.region, ownership)
+        self._idle = IdleConnections(settings.vm.region, ownership)
         self._started_at: float = 0
         self._decayed_at: float = 0
 
@@ -251,9 +251,9 @@
             return True
         return self._budgets.take(service, account, at)
 
-    def most_rest_s(self, service: ServiceName, at: float) -> float:
+    def most_idle_s(self, service: ServiceName, at: float) -> float:
         """Return for how long a connection may rest to be used again."""
-        return self._resting.most_rest_s(service, at)
+        return self._idle.most_idle_s(service, at)
 
     def hedge_delay_s(
         self, service: ServiceName, at: float, objective_s: float = 0
@@ -295,12 +295,12 @@
         match event:
             case MemberChanged(vm=vm, region=region, status=MemberStatus.alive):
                 self._sharing.add_vm(vm, region)
-                self._resting.add_vm(vm)
+                self._idle.add_vm(vm)
             case MemberChanged(vm=vm, status=status):
                 if status in _GONE:
                     self._leading.forget_vm(vm)
                     self._sharing.remove_vm(vm)
-                    self._resting.remove_vm(vm)
+                    self._idle.remove_vm(vm)
             case LeadershipChanged():
                 self._leading.check_leadership(event.at)
             case FleetCounted(vms=vms):
@@ -320,7 +320,7 @@
             return []
         shared = self._sharing.note(assignment.target, evidence, at)
         if outcome is AttemptOutcome.closed_idle:
-            shared += self._resting.note(assignment.state.name, at)
+            shared += self._idle.note(assignment.state.name, at)
         return self._deliver(shared, at)
 
     def _start(self, at: float) -> list[Output]:
@@ -416,7 +416,7 @@
             case BudgetGiven() as given:
                 self._retries.allowance.receive(given)
             case IdleClosed() as closed:
-                told_all = self._resting.receive(closed, at)
+                told_all = self._idle.receive(closed, at)
                 return self._deliver(told_all, at)
             case HealthTold() as told:
                 self._sharing.take(told, at)
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -66,7 +66,7 @@
         self._go: asyncio.Future[None] = loop.create_future()
         self._response: httpx.Response | None = None
         self._connection = ports.upstream.take(
-            (effect.host, effect.port), effect.most_rest_s
+            (effect.host, effect.port), effect.most_idle_s
         )
         self._released = False
         self._ready = False
--- a/src/cranberryseam/serving/upstream.py
+++ b/src/cranberryseam/serving/upstream.py
@@ -150,19 +150,19 @@
         self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
     def take(
-        self, address: Address, most_rest_s: float = math.inf
+        self, address: Address, most_idle_s: float = math.inf
     ) -> TargetConnection:
         """Return an idle connection to an address, or a new one.
 
         Parameters
         ----------
-        most_rest_s
+        most_idle_s
             Seconds for which it may have been idle.
 
         """
         now = self._clock()
         connections = self._idle.get(address)
-        if connections and _is_usable(connections[-1], most_rest_s, now):
+        if connections and _is_usable(connections[-1], most_idle_s, now):
             connection = connections.pop()
             connection.taken_at = now
             return connection
@@ -239,10 +239,10 @@
 
 
 def _is_usable(
-    connection: TargetConnection, most_rest_s: float, now: float
+    connection: TargetConnection, most_idle_s: float, now: float
 ) -> bool:
-    rested_s = now - (connection.idle_since or now)
-    return now < connection.idle_until and rested_s <= most_rest_s
+    idle_s = now - (connection.idle_since or now)
+    return now < connection.idle_until and idle_s <= most_idle_s
 
 
 @functools.lru_cache(maxsize=_REMEMBERED_ADDRESSES)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -116,7 +116,7 @@
         (assigned,) = self.admit(request, at)
         return assigned
 
-    def most_rest_s(self, service: str, at: float) -> float:
+    def most_idle_s(self, service: str, at: float) -> float:
         """Return no bound."""
         return math.inf
 
--- a/tests/routing/test_resting.py
+++ b/tests/routing/test_idle.py
@@ -9,12 +9,12 @@
 from cranberryseam.core.effects import SendMessage
 from cranberryseam.core.notices import SlotAssigned
 from cranberryseam.routing import AttemptOutcome
-from cranberryseam.routing.messages import IdleClosed
-from cranberryseam.routing.resting import (
+from cranberryseam.routing.idle import (
     DISTRUSTED_S,
-    SHORT_REST_S,
-    Resting,
+    SHORT_IDLE_S,
+    IdleConnections,
 )
+from cranberryseam.routing.messages import IdleClosed
 from cranberryseam.types import ServiceName, VmId
 
 from .test_health import _Led
@@ -23,32 +23,32 @@
 SERVICE = ServiceName('katalogi')
 
 
-class RestingTest(TestCase):
+class IdleTest(TestCase):
     """Guards against requests that are lost one after the other at each VM,
     on connections that targets have forgotten.
     """
 
-    def _leader(self) -> Resting:
-        leader = Resting('fleet', _Led())
+    def _leader(self) -> IdleConnections:
+        leader = IdleConnections('fleet', _Led())
         leader.add_vm(VmId('e1'))
         leader.add_vm(VmId('e2'))
         return leader
 
     def test_one_loss_warns_all(self) -> None:
-        seen = Resting('fleet', _Led())
-        other = Resting('fleet', _Led())
+        seen = IdleConnections('fleet', _Led())
+        other = IdleConnections('fleet', _Led())
         (report,) = seen.note(SERVICE, 5)
         told = self._leader().receive(report.message, 5.03)
         self.assertEqual({'e1', 'e2'}, {one.to for one in told})
         other.receive(told[0].message, 5.06)
         for vm in (seen, other):
-            self.assertEqual(SHORT_REST_S, vm.most_rest_s(SERVICE, 6))
-            self.assertEqual(math.inf, vm.most_rest_s('other', 6))
+            self.assertEqual(SHORT_IDLE_S, vm.most_idle_s(SERVICE, 6))
+            self.assertEqual(math.inf, vm.most_idle_s('other', 6))
 
     def test_trust_comes_back(self) -> None:
         vm = self._leader()
         vm.note(SERVICE, 5)
-        self.assertEqual(math.inf, vm.most_rest_s(SERVICE, 5 + DISTRUSTED_S))
+        self.assertEqual(math.inf, vm.most_idle_s(SERVICE, 5 + DISTRUSTED_S))
 
     def test_many_losses_cost_one_message(self) -> None:
         """Guards against a message to all VMs for each lost request."""
--- a/tests/serving/test_idle_connections.py
+++ b/tests/serving/test_idle_connections.py
@@ -46,7 +46,7 @@
         self,
         _: str,
         work_s: float,
-        most_rest_s: float,
+        most_idle_s: float,
         failures: list[AttemptFailure],
     ) -> None:
         """The target answers the first request of each connection only."""
@@ -63,7 +63,7 @@
         async def scenario() -> None:
             reducer.rules[RequestArrived] = lambda event: [
                 attrs.evolve(
-                    reducer.start(event.request_id), most_rest_s=most_rest_s
+                    reducer.start(event.request_id), most_idle_s=most_idle_s
                 )
             ]
             async with (
