Say that a request may have run if its second attempt may have run it

The outcome of a second attempt that failed after it was sent, or answered with a failure, was dropped, and a refusal after the first attempt had not run said "not run".

Change: the second attempt counts like the first one. Test: test_not_run_is_true; its first two cases fail without the change.

--- a/src/cranberryseam/requests/hedging.py
+++ b/src/cranberryseam/requests/hedging.py
@@ -87,6 +87,7 @@
             return []
         hedge = state.hedge
         state.hedge = None
+        state.may_have_run = state.may_have_run or event.sent
         outcome = classify_failure(event.failure)
         line = describe_attempt(
             state, hedge, event.failure.value, event.at, sent=event.sent
@@ -185,6 +186,7 @@
         if hedge is None:
             return []
         state.hedge = None
+        state.may_have_run = state.may_have_run or not event.not_run
         outcome = classify_answer(event)
         return [
             describe_attempt(
--- a/tests/requests/test_hedging.py
+++ b/tests/requests/test_hedging.py
@@ -42,9 +42,11 @@
     return driver.apply(ev.TimerFired(timer.at, timer.part, timer.name))
 
 
-def _answer(attempt: int, status: int = 200, at: float = 2) -> ev.AnswerReady:
+def _answer(
+    attempt: int, status: int = 200, *, not_run: bool = False
+) -> ev.AnswerReady:
     return ev.AnswerReady(
-        at, FIRST, AttemptId(attempt), status, complete=True, not_run=False
+        2, FIRST, AttemptId(attempt), status, complete=True, not_run=not_run
     )
 
 
@@ -148,6 +150,25 @@
         self.assertIs(Ran.unknown, refused.refusal.ran)
         self.assertEqual(0, driver.coordinator.in_progress)
 
+    @parameterized.expand(
+        [
+            ('second sent', _fail(2), Ran.unknown),
+            ('second faulty', _answer(2, 500), Ran.unknown),
+            ('second not run', _answer(2, 503, not_run=True), Ran.no),
+        ]
+    )
+    def test_not_run_is_true(self, _: str, event: ev.Event, ran: Ran) -> None:
+        """Guards against "not run" for a request that its second attempt may
+        have run: the first one never reached a target.
+        """
+        parts = FakeParts()
+        driver, effects = _start(parts)
+        _hedge(driver, effects)
+        driver.apply(event)
+        parts.retries = 0
+        (_, refused) = driver.apply(_answer(1, 503, not_run=True))
+        self.assertIs(ran, refused.refusal.ran)
+
     def test_caller_leaves(self) -> None:
         """Guards against work for callers who are gone."""
         parts = FakeParts()
