Compute the plan of loads exactly instead of by a search

Test: plans take exactly the demand (test_agrees_with_a_search); the others of the module pass unchanged.

--- a/src/cranberryseam/routing/spreading.py
+++ b/src/cranberryseam/routing/spreading.py
@@ -18,9 +18,8 @@
 # Above this share of its slots a target with four slots makes requests wait
 # about as long as they take (Erlang C).
 MOST_LOAD: Final = 0.85
-# Halvings of the interval in which the level lies; the error is then below a
-# thousandth of a target's capacity.
-_STEPS: Final = 16
+# Slots below this are left over from adding and taking away the same ones.
+_ROUNDING: Final = 1e-9
 
 
 @attrs.frozen
@@ -56,24 +55,33 @@
         Mean number of requests at work.
 
     """
-    if not offers:
-        return []
-    low = min(offer.cost for offer in offers)
-    high = max(offer.cost for offer in offers) + MOST_LOAD
-    for _ in range(_STEPS):
-        level = (low + high) / 2
-        if sum(_fill(offers, level)) < demand:
-            low = level
-        else:
-            high = level
-    return _fill(offers, high)
-
-
-def _fill(offers: Sequence[Offer], level: float) -> list[float]:
+    level = _find_level(offers, demand)
     return [
         offer.slots * min(MOST_LOAD, max(0, level - offer.cost))
         for offer in offers
     ]
 
 
+def _find_level(offers: Sequence[Offer], demand: float) -> float:
+    """Return the cost with load at which the targets take the demand.
+
+    Between the levels at which a target begins to take work or is full, the
+    work taken grows evenly with the level.
+    """
+    changes = [(offer.cost, offer.slots) for offer in offers]
+    changes += [(offer.cost + MOST_LOAD, -offer.slots) for offer in offers]
+    changes.sort()
+    level: float = 0
+    taken: float = 0
+    growth: float = 0
+    for at, change in changes:
+        more = growth * (at - level)
+        if growth > _ROUNDING and taken + more >= demand:
+            return level + (demand - taken) / growth
+        taken += more
+        level = at
+        growth += change
+    return level
+
+
 __all__ = ('MOST_LOAD', 'Offer', 'plan_loads')
--- a/tests/routing/test_spreading.py
+++ b/tests/routing/test_spreading.py
@@ -54,6 +54,20 @@
     def test_without_targets(self) -> None:
         self.assertEqual([], plan_loads([], 3))
 
+    def test_agrees_with_a_search(self) -> None:
+        """Guards against a plan that differs from the definition: one level at
+        which the targets together take the demand.
+        """
+        rng = random.Random(5)
+        for _ in range(100):
+            offers = [
+                Offer(rng.choice((0, 0.2, rng.random())), rng.choice((0.4, 4)))
+                for _ in range(TARGETS)
+            ]
+            room = sum(offer.slots for offer in offers) * MOST_LOAD
+            demand = rng.uniform(0, room)
+            self.assertAlmostEqual(demand, sum(plan_loads(offers, demand)))
+
     def test_no_target_is_planned_full(self) -> None:
         rng = random.Random(3)
         for _ in range(50):
