Log departures, ignored announcements and late loops

The logs could not tell which departure the control leader had accepted, what its table held of the target at that moment, what a new leader's table holds, and whether a VM's loop was late. No decision changes.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -216,16 +216,24 @@
             return []
         self._table_term = reply.term
         self._position = reply.position
-        if reply.whole:
-            known = {row.announcement.target for row in reply.rows}
-            for target in self.rows:
-                if target not in known:
-                    self._unconfirmed.setdefault(target, at)
         outputs: list[Output] = []
+        if reply.whole:
+            outputs.extend(self._note_unconfirmed(reply, at))
         for row in reply.rows:
             outputs.extend(self._take_row(row, at))
         return outputs
 
+    def _note_unconfirmed(self, reply: PollReply, at: float) -> list[Output]:
+        """Note the targets that a leader's whole table doesn't have."""
+        known = {row.announcement.target for row in reply.rows}
+        missing = [target for target in self.rows if target not in known]
+        for target in missing:
+            self._unconfirmed.setdefault(target, at)
+        if not missing:
+            return []
+        fields = {'term': reply.term, 'targets': missing}
+        return [WriteLog(logging.INFO, 'targets unconfirmed', fields)]
+
     def _take_row(self, row: TargetRow, at: float) -> list[Output]:
         target = row.announcement.target
         self._unconfirmed.pop(target, None)
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
 
@@ -16,6 +17,7 @@
     IncrementCounter,
     SendMessage,
     SetTimer,
+    WriteLog,
 )
 from ..core.events import (
     Announcement,
@@ -58,6 +60,7 @@
 _COUNTED_S: Final = 1.5
 # A VM that has not polled for this long asks another control VM.
 _VM_LOST_S: Final = 3.0
+_MS: Final = 1000
 
 _Departure = tuple[str, int]
 
@@ -110,6 +113,7 @@
 
     vm: VmId
     reply_id: int
+    since: float
 
 
 class Hub:
@@ -142,9 +146,15 @@
         self._started_at: float = 0
         self._polled_at: dict[VmId, float] = {}
         self._source = ContentSource()
+        self._lines: list[WriteLog] = []
 
     def handle(self, event: Event | Notice) -> Sequence[Output]:
         """Apply one event or notice; see ``Part``."""
+        outputs = [*self._apply(event), *self._lines]
+        self._lines.clear()
+        return outputs
+
+    def _apply(self, event: Event | Notice) -> list[Output]:
         match event:
             case Started():
                 self._started_at = event.at
@@ -222,6 +232,14 @@
             born_ms = entry.row.announcement.born_ms
             if (target, born_ms) in self._departed:
                 self._mark_draining(entry)
+        fields = {
+            'term': self._term,
+            'targets': len(self._entries),
+            'departed': len(self._departed),
+        }
+        self._lines.append(
+            WriteLog(logging.INFO, 'table of targets taken over', fields)
+        )
 
     def _answer_poll(self, poll: Poll, at: float) -> PollReply | LeaderHint:
         authority = self._find_authority(at)
@@ -277,9 +295,9 @@
         taken = SendMessage(sender, AnnouncementTaken(reply_id))
         departure = (str(came.target), came.born_ms)
         if departure in self._departed or not _is_newer(came, known):
-            return [taken, IncrementCounter('hub.announcement_outdated')]
+            return [taken, *_ignore(came, known, 'outdated')]
         if not self._claim_address(came):
-            return [taken, IncrementCounter('hub.address_taken')]
+            return [taken, *_ignore(came, known, 'address_taken')]
         self._update(came, at)
         return [taken]
 
@@ -330,7 +348,7 @@
         if departure in self._departed:
             return [SendMessage(sender, AnnouncementTaken(reply_id))]
         waiters = self._waiting.setdefault(departure, [])
-        waiters.append(_Waiter(sender, reply_id))
+        waiters.append(_Waiter(sender, reply_id, at))
         if len(waiters) > 1:
             return []
         return [DepartureReported(at, came.target, born_ms)]
@@ -340,12 +358,16 @@
     ) -> list[Output]:
         self._departed.add(departure)
         entry = self._entries.get(TargetId(departure[0]))
+        waiters = self._waiting.pop(departure, ())
+        if waiters:
+            waited_s = at - waiters[0].since
+            self._lines.append(_describe_departure(departure, entry, waited_s))
         if entry and entry.row.announcement.born_ms == departure[1]:
             self._mark_draining(entry)
             entry.heard_at = at
         return [
             SendMessage(waiter.vm, AnnouncementTaken(waiter.reply_id))
-            for waiter in self._waiting.pop(departure, ())
+            for waiter in waiters
         ]
 
     def _sweep(self, at: float) -> list[Output]:
@@ -379,6 +401,43 @@
         return self._position
 
 
+def _describe_departure(
+    departure: _Departure, entry: _Entry | None, waited_s: float
+) -> WriteLog:
+    """Return the line for a departure that is acknowledged.
+
+    What the table holds of the target decides whether VMs are told.
+    """
+    known = entry.row.announcement if entry else None
+    fields = {
+        'target': departure[0],
+        'born_ms': departure[1],
+        'known_born_ms': known.born_ms if known else None,
+        'known_service': known.service if known else None,
+        'known_state': known.state.value if known else None,
+        'waited_ms': round(waited_s * _MS),
+    }
+    return WriteLog(logging.INFO, 'departure accepted', fields)
+
+
+def _ignore(
+    came: Announcement, known: _Entry | None, reason: str
+) -> list[Output]:
+    before = known.row.announcement if known else None
+    fields = {
+        'target': came.target,
+        'reason': reason,
+        'born_ms': came.born_ms,
+        'sequence': came.sequence,
+        'known_born_ms': before.born_ms if before else None,
+        'known_sequence': before.sequence if before else None,
+    }
+    return [
+        IncrementCounter(f'hub.announcement_{reason}'),
+        WriteLog(logging.INFO, 'announcement ignored', fields),
+    ]
+
+
 def _is_leaving(state: TargetState) -> bool:
     return state is TargetState.draining
 
--- a/src/cranberryseam/daemon/program.py
+++ b/src/cranberryseam/daemon/program.py
@@ -198,7 +198,7 @@
     )
     for peer in settings.peers:
         peers.register(VmId(peer.name), peer.address)
-    timers = Timers(clock.read, executor.dispatch)
+    timers = Timers(clock.read, executor.dispatch, metrics.observe)
     servers = open_servers(
         settings, executor.dispatch, clock.read, metrics, interfaces
     )
--- a/src/cranberryseam/daemon/timers.py
+++ b/src/cranberryseam/daemon/timers.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -15,6 +16,15 @@
 # The loop looks at the clock at least this often, so that a pause of the VM
 # is seen even while nothing else happens.
 LONGEST_SLEEP_S: Final = 0.5
+# Polls of the control leader are 0.35 s apart; a loop that is late by more
+# uses old knowledge.
+LATE_S: Final = 0.35
+_MS: Final = 1000
+_logger = logging.getLogger(__name__)
+
+
+def _observe_nothing(_name: str, _seconds: float) -> None:
+    """Drop a duration."""
 
 
 class Timers:
@@ -26,15 +36,21 @@
         Time of the reducer's events, in seconds.
     dispatch
         Takes the events.
+    observe
+        Takes by how many seconds timers fired late.
 
     """
 
     def __init__(
-        self, clock: Callable[[], float], dispatch: Callable[[Event], None]
+        self,
+        clock: Callable[[], float],
+        dispatch: Callable[[Event], None],
+        observe: Callable[[str, float], None] = _observe_nothing,
     ) -> None:
         """Start without timers."""
         self._clock = clock
         self._dispatch = dispatch
+        self._observe = observe
         self._due: dict[tuple[str, str], tuple[float, int]] = {}
         self._heap: list[tuple[float, int, str, str]] = []
         self._order = itertools.count()
@@ -71,11 +87,19 @@
 
     def _fire_due(self) -> None:
         now = self._clock()
+        if self._heap and self._heap[0][0] <= now:
+            self._note_lateness(now - self._heap[0][0])
         while self._heap and self._heap[0][0] <= now:
             at, order, part, name = heapq.heappop(self._heap)
             if self._due.get((part, name)) == (at, order):
                 self._due.pop((part, name))
                 self._dispatch(TimerFired(self._clock(), part, name))
 
+    def _note_lateness(self, late_s: float) -> None:
+        self._observe('loop.late', late_s)
+        if late_s > LATE_S:
+            fields = {'late_ms': round(late_s * _MS)}
+            _logger.warning('event loop was late', extra={'fields': fields})
+
 
 __all__ = ('Timers',)
--- a/tests/attachment/test_fleet.py
+++ b/tests/attachment/test_fleet.py
@@ -218,3 +218,18 @@
             self.assertEqual(call.reason, '')
             entry = fleet.runs['e1'].node._by_timer['attachment']
             self.assertEqual(set(entry.rows), {'t2'})
+
+    def test_departure_leaves_a_line(self) -> None:
+        """Guards against an acknowledgement that logs can't explain."""
+        with run_fleet() as fleet:
+            leaving = make_announcement(state=LEAVING, sequence=2)
+            fleet.run_until(fleet.announce('c1', leaving), 1)
+            lines = [
+                line.fields
+                for line in fleet.runs[fleet.leader()].lines
+                if line.message == 'departure accepted'
+            ]
+            (fields,) = lines
+            self.assertEqual(fields['target'], 't1')
+            self.assertEqual(fields['known_born_ms'], 1)
+            self.assertEqual(fields['known_state'], 'ready')
--- a/tests/daemon/test_timers.py
+++ b/tests/daemon/test_timers.py
@@ -40,6 +40,28 @@
         asyncio.run(run())
         self.assertEqual(fired, ['first', 'next', 'moved', 'late'])
 
+    def test_late_loop_is_told(self) -> None:
+        """Guards against a VM that uses old knowledge without a trace."""
+        observed: list[tuple[str, float]] = []
+
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            timers = Timers(
+                loop.time,
+                lambda _event: None,
+                lambda name, seconds: observed.append((name, seconds)),
+            )
+            timers.execute(SetTimer('p', 'late', loop.time() - 0.5))
+            running = asyncio.create_task(timers.run())
+            await asyncio.sleep(0.01)
+            running.cancel()
+
+        with self.assertLogs('cranberryseam.daemon.timers', 'WARNING'):
+            asyncio.run(run())
+        ((name, seconds),) = observed
+        self.assertEqual(name, 'loop.late')
+        self.assertGreaterEqual(seconds, 0.5)
+
     def test_other_effects_are_left(self) -> None:
         timers = Timers(lambda: 0, lambda _event: None)
         self.assertFalse(timers.execute(SetReadiness(True)))
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -110,6 +110,7 @@
     answered: set[int] = attrs.field(factory=set)
     answers: dict[int, Any] = attrs.field(factory=dict)
     announced: dict[int, Any] = attrs.field(factory=dict)
+    lines: list[fx.WriteLog] = attrs.field(factory=list)
 
 
 class Fleet:
@@ -314,6 +315,8 @@
                 run.announced[number] = failure
             case fx.SetReadiness(ready=ready):
                 run.ready = ready
+            case fx.WriteLog():
+                run.lines.append(effect)
             case fx.IncrementCounter(name='ownership.lease_won'):
                 self.leaders[self.settings[run.name].vm.region] = run.name
             case fx.StopProcess():
