Add failing tests of departures that the leader's table can't tell

Whole reducers in virtual time: after a restart of the control VMs the leader acknowledges the departure of a target that its table lacks, and all entry VMs go on sending to it. The same holds for a departure just before the restart, for a start that was never announced, and for a row that an announcement for another service replaced.

--- a/tests/attachment/attached_fleet.py
+++ b/tests/attachment/attached_fleet.py
@@ -31,12 +31,13 @@
 from cranberryseam.core.commands import CommandAnswer
 from cranberryseam.core.documents import PutDocument, ReadDocument
 from cranberryseam.types import AccountId, KeyId, ServiceName, TargetId
-from tests.integration.harness import Fleet, Target
+from tests.integration.harness import WALL_S, Fleet, Target
 
 CONTROL = ('c1', 'c2', 'c3', 'c4', 'c5')
 ENTRIES = ('e1', 'e2', 'e3')
 SEEDS = CONTROL[:3]
 FORMED_S = 4.0
+_MS = 1000
 
 
 def make_settings(name: str, *, forms: bool = True) -> Settings:
@@ -92,11 +93,12 @@
     sequence: int = 1,
     born_ms: int = 1,
     port: int = 1,
+    service: str = 'katalogi',
 ) -> ev.Announcement:
     """Return what a target of the catalogue announces."""
     return ev.Announcement(
         TargetId(name),
-        ServiceName('katalogi'),
+        ServiceName(service),
         '127.0.0.1',
         port,
         'fleet',
@@ -142,6 +144,10 @@
         assert isinstance(body, Document), body
         return body
 
+    def wall_ms(self) -> int:
+        """Return the time of day in milliseconds since the Unix epoch."""
+        return round((WALL_S + self.now) * _MS)
+
     def lose_disk(self, name: str) -> None:
         """Forget what a stopped control VM had written."""
         shutil.rmtree(self.folder(name))
--- /dev/null
+++ b/tests/attachment/test_departures.py
@@ -0,0 +1,135 @@
+"""Departures of targets that the control leader knows little about."""
+
+from __future__ import annotations
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from cranberryseam.core import events as ev
+from cranberryseam.types import ServiceName, TargetId
+
+from .attached_fleet import (
+    CONTROL,
+    ENTRIES,
+    AttachedFleet,
+    make_announcement,
+    run_fleet,
+)
+
+# A departed target gets no work this long after its acknowledgement.
+DRAINED_S = 2.5
+ACKNOWLEDGED_S = 2.0
+LEAVING = ev.TargetState.draining
+# A departure that brings nothing but the name of the target.
+BARE = ev.Announcement(
+    TargetId('t1'), ServiceName(''), '', 0, 'fleet', '', 1, 1, LEAVING, 0
+)
+FULL = make_announcement(state=LEAVING, sequence=2)
+
+
+def restart_control(fleet: AttachedFleet) -> None:
+    """Let all control VMs forget what only their memory held."""
+    for name in CONTROL:
+        fleet.kill(name)
+    fleet.run(0.3)
+    for name in CONTROL:
+        fleet.restart(name)
+    fleet.run_until(fleet.leader, 5)
+
+
+def depart(fleet: AttachedFleet, announcement: ev.Announcement) -> None:
+    """Announce a departure and wait for its acknowledgement."""
+    accepted = fleet.announce('c1', announcement)
+    fleet.run_until(accepted, ACKNOWLEDGED_S)
+
+
+class UnknownTargetTest(TestCase):
+    """A departure binds all VMs, whatever the leader's table holds."""
+
+    @parameterized.expand([('full', FULL), ('bare', BARE)])
+    def test_departure_after_restart_of_control(
+        self, _: str, announcement: ev.Announcement
+    ) -> None:
+        """Guards against work for a target that a new leader doesn't know."""
+        with run_fleet() as fleet:
+            restart_control(fleet)
+            depart(fleet, announcement)
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
+
+    def test_departure_before_restart_of_control(self) -> None:
+        """Guards against VMs that never hear of a departure in the log."""
+        with run_fleet() as fleet:
+            fleet.cut(CONTROL, ENTRIES, both=True)
+            depart(fleet, FULL)
+            restart_control(fleet)
+            fleet.cuts.clear()
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
+
+    def test_late_heartbeat_after_bare_departure(self) -> None:
+        """Guards against a late heartbeat that brings a target back."""
+        with run_fleet() as fleet:
+            restart_control(fleet)
+            depart(fleet, BARE)
+            fleet.announce('c2', make_announcement(sequence=3))
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
+
+    def test_new_start_after_bare_departure(self) -> None:
+        """Guards against a departure that also binds the next start."""
+        with run_fleet() as fleet:
+            restart_control(fleet)
+            depart(fleet, BARE)
+            fleet.run(DRAINED_S)
+            born_ms = fleet.wall_ms()
+            again = make_announcement(born_ms=born_ms)
+            fleet.run_until(fleet.announce('c2', again), 1)
+            fleet.run(1)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), '')
+
+
+class StartsTest(TestCase):
+    """A target that starts again under its name."""
+
+    def test_departure_of_a_start_that_was_not_announced(self) -> None:
+        """Guards against work for a start whose first word is that it leaves.
+
+        VMs know the start before; the address is the same.
+        """
+        with run_fleet() as fleet:
+            again = make_announcement(state=LEAVING, born_ms=5)
+            depart(fleet, again)
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
+
+    def test_late_departure_of_the_start_before(self) -> None:
+        """Guards against a late departure that ends the start after it."""
+        with run_fleet() as fleet:
+            fleet.run_until(
+                fleet.announce('c2', make_announcement(born_ms=5)), 1
+            )
+            depart(fleet, FULL)
+            fleet.run(1)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), '')
+
+
+class ForeignAnnouncementTest(TestCase):
+    """Announcements under a target's name that another writer sent."""
+
+    def test_departure_after_an_announcement_for_another_service(self) -> None:
+        """Guards against a row that VMs hold under two services."""
+        with run_fleet() as fleet:
+            foreign = make_announcement(sequence=2, service='other')
+            fleet.run_until(fleet.announce('c1', foreign), 1)
+            fleet.run(1)
+            depart(fleet, make_announcement(state=LEAVING, sequence=3))
+            fleet.run(DRAINED_S)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), 'no_target')
