Tell departures beside the table of targets, not as a change of a row

Cause: a departure was binding in the control log, but VMs learned of it only if the leader had a row of just that start of the target to change. After a restart of the control VMs the table is empty until the next heartbeats, while entry VMs keep the targets that they know for 20 s.

Now replies to polls carry the departures themselves, all of them with a whole table, and a VM applies them to what it knows. A departure covers all starts up to a time: the reported start, else the one in the table, else now, since a DELETE brings no more than the name. Late heartbeats of covered starts are ignored, later starts are not.

Ruled out: waiting with the acknowledgement until the target is known (one that deletes itself sends no further heartbeat); rebuilding the table from the VMs before acknowledging (each VM would send all rows after each election).

--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -187,7 +187,6 @@
             ev.Started,
             ev.TargetAnnounced,
             nt.EntryCommitted,
-            nt.SnapshotInstalled,
         ),
     )
 
--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -6,6 +6,8 @@
 import random
 from typing import Final
 
+import attrs
+
 from ..configuration.model import Configuration
 from ..configuration.settings import Settings
 from ..core.effects import (
@@ -20,6 +22,7 @@
     MessageReceived,
     SeedsChanged,
     Started,
+    TargetState,
     TimerFired,
 )
 from ..core.notices import (
@@ -32,7 +35,7 @@
 )
 from ..types import Output, TargetId, VmId
 from .content import apply_content
-from .messages import LeaderHint, Poll, PollReply, TargetRow
+from .messages import Departure, LeaderHint, Poll, PollReply, TargetRow
 
 PART: Final = 'attachment'
 GROUP: Final = 'control'
@@ -221,6 +224,8 @@
             outputs.extend(self._note_unconfirmed(reply, at))
         for row in reply.rows:
             outputs.extend(self._take_row(row, at))
+        for departure in reply.departed:
+            outputs.extend(self._take_departure(departure, at))
         return outputs
 
     def _note_unconfirmed(self, reply: PollReply, at: float) -> list[Output]:
@@ -249,6 +254,22 @@
         changed = TargetChanged(at, row.announcement, row.silent)
         return [changed, _log_target(row)]
 
+    def _take_departure(self, departure: Departure, at: float) -> list[Output]:
+        """Stop using a target that left, as this VM knows it.
+
+        A row that the leader doesn't confirm still expires.
+        """
+        row = self.rows.get(departure.target)
+        if row is None or row.announcement.born_ms > departure.born_ms:
+            return []
+        if row.announcement.state is TargetState.draining:
+            return []
+        leaving = attrs.evolve(row.announcement, state=TargetState.draining)
+        row = TargetRow(leaving, row.silent)
+        self.rows[departure.target] = row
+        changed = TargetChanged(at, leaving, row.silent)
+        return [changed, _log_target(row)]
+
     def _expire(self, at: float) -> list[Output]:
         outputs: list[Output] = []
         for target, since in tuple(self._unconfirmed.items()):
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -34,12 +34,13 @@
     MemberChanged,
     MemberStatus,
     Notice,
-    SnapshotInstalled,
 )
 from ..types import Output, TargetId, VmId
 from .content import ContentSource
+from .departures import Departures, Waiter
 from .messages import (
     AnnouncementTaken,
+    Departure,
     LeaderHint,
     PassedAnnouncement,
     Poll,
@@ -62,8 +63,6 @@
 _VM_LOST_S: Final = 3.0
 _MS: Final = 1000
 
-_Departure = tuple[str, int]
-
 
 class ControlReplica(Protocol):
     """The control replica of this VM."""
@@ -107,15 +106,6 @@
     position: int
 
 
-@attrs.frozen
-class _Waiter:
-    """A control VM that waits until a departure is in the log."""
-
-    vm: VmId
-    reply_id: int
-    since: float
-
-
 class Hub:
     """Owns the table of targets while this VM leads the control log.
 
@@ -141,9 +131,9 @@
         self._term = 0
         self._position = 0
         self._entries: dict[TargetId, _Entry] = {}
-        self._departed: set[_Departure] = set()
-        self._waiting: dict[_Departure, list[_Waiter]] = {}
+        self._departures = Departures()
         self._started_at: float = 0
+        self._started_wall_s: float = 0
         self._polled_at: dict[VmId, float] = {}
         self._source = ContentSource()
         self._lines: list[WriteLog] = []
@@ -156,18 +146,19 @@
 
     def _apply(self, event: Event | Notice) -> list[Output]:
         match event:
-            case Started():
+            case Started(wall_s=wall_s):
                 self._started_at = event.at
+                self._started_wall_s = wall_s
                 return [SetTimer(PART, _TIMER, event.at + _SWEEP_S)]
             case TimerFired():
                 return self._sweep(event.at)
             case TargetAnnounced():
                 return self._pass_on(event)
             case EntryCommitted(entry=TargetDeparted() as departed):
-                departure = (departed.target, departed.born_ms)
+                departure = Departure(
+                    TargetId(departed.target), departed.born_ms
+                )
                 return self._finish_departure(departure, event.at)
-            case SnapshotInstalled(configuration=configuration):
-                self._departed.update(configuration.departed)
             case MessageReceived(sender=sender, message=message):
                 return self._receive(sender, message, event.at)
         return []
@@ -222,20 +213,19 @@
     def _take_over(self, authority: Authority, at: float) -> None:
         self._term = authority.term
         self._position = 1
-        self._waiting.clear()
-        self._departed.update(authority.configuration.departed)
+        departed = authority.configuration.departed
+        self._departures.restore(departed, self._position)
         self._entries = {
             target: _Entry(row, at, self._position)
             for target, row in self._copy.rows.items()
         }
-        for target, entry in self._entries.items():
-            born_ms = entry.row.announcement.born_ms
-            if (target, born_ms) in self._departed:
+        for entry in self._entries.values():
+            if self._departures.cover_announcement(entry.row.announcement):
                 self._mark_draining(entry)
         fields = {
             'term': self._term,
             'targets': len(self._entries),
-            'departed': len(self._departed),
+            'departed': len(self._departures),
         }
         self._lines.append(
             WriteLog(logging.INFO, 'table of targets taken over', fields)
@@ -274,6 +264,7 @@
             content=self._source.find(
                 authority.configuration, poll.content_version
             ),
+            departed=self._departures.list_after(after),
         )
 
     def _pass_on(self, event: TargetAnnounced) -> list[Output]:
@@ -293,8 +284,8 @@
         if came.state is TargetState.draining:
             return self._start_departure(sender, reply_id, came, at)
         taken = SendMessage(sender, AnnouncementTaken(reply_id))
-        departure = (str(came.target), came.born_ms)
-        if departure in self._departed or not _is_newer(came, known):
+        left = self._departures.cover_announcement(came)
+        if left or not _is_newer(came, known):
             return [taken, *_ignore(came, known, 'outdated')]
         if not self._claim_address(came):
             return [taken, *_ignore(came, known, 'address_taken')]
@@ -338,31 +329,36 @@
     def _start_departure(
         self, sender: VmId, reply_id: int, came: Announcement, at: float
     ) -> list[Output]:
-        known = self._entries.get(came.target)
-        born_ms = came.born_ms
-        if not born_ms and known is not None:
-            born_ms = known.row.announcement.born_ms
-        if known is not None and born_ms == known.row.announcement.born_ms:
-            known.heard_at = at
-        departure = (str(came.target), born_ms)
-        if departure in self._departed:
+        departure = Departure(came.target, self._find_born(came, at))
+        if self._departures.cover(departure.target, departure.born_ms):
             return [SendMessage(sender, AnnouncementTaken(reply_id))]
-        waiters = self._waiting.setdefault(departure, [])
-        waiters.append(_Waiter(sender, reply_id, at))
-        if len(waiters) > 1:
-            return []
-        return [DepartureReported(at, came.target, born_ms)]
+        if self._departures.wait(departure, Waiter(sender, reply_id, at)):
+            return [DepartureReported(at, departure.target, departure.born_ms)]
+        return []
+
+    def _find_born(self, came: Announcement, at: float) -> int:
+        """Return up to when the starts of a departing target leave.
+
+        A target that brings only its name leaves with all starts up to now.
+        """
+        if came.born_ms:
+            return came.born_ms
+        known = self._entries.get(came.target)
+        if known is not None and known.row.announcement.born_ms:
+            return known.row.announcement.born_ms
+        wall_s = self._started_wall_s + at - self._started_at
+        return round(wall_s * _MS)
 
     def _finish_departure(
-        self, departure: _Departure, at: float
+        self, departure: Departure, at: float
     ) -> list[Output]:
-        self._departed.add(departure)
-        entry = self._entries.get(TargetId(departure[0]))
-        waiters = self._waiting.pop(departure, ())
+        self._departures.add(departure, self._advance())
+        entry = self._entries.get(departure.target)
+        waiters = self._departures.take_waiters(departure)
         if waiters:
             waited_s = at - waiters[0].since
             self._lines.append(_describe_departure(departure, entry, waited_s))
-        if entry and entry.row.announcement.born_ms == departure[1]:
+        if entry and entry.row.announcement.born_ms <= departure.born_ms:
             self._mark_draining(entry)
             entry.heard_at = at
         return [
@@ -402,7 +398,7 @@
 
 
 def _describe_departure(
-    departure: _Departure, entry: _Entry | None, waited_s: float
+    departure: Departure, entry: _Entry | None, waited_s: float
 ) -> WriteLog:
     """Return the line for a departure that is acknowledged.
 
@@ -410,8 +406,8 @@
     """
     known = entry.row.announcement if entry else None
     fields = {
-        'target': departure[0],
-        'born_ms': departure[1],
+        'target': departure.target,
+        'born_ms': departure.born_ms,
         'known_born_ms': known.born_ms if known else None,
         'known_service': known.service if known else None,
         'known_state': known.state.value if known else None,
--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -6,6 +6,7 @@
 
 from ..core.events import Announcement
 from ..core.messages import Message
+from ..types import TargetId
 from .content import ContentDelta, WholeContent
 
 _POLL_TAG = 700
@@ -29,6 +30,20 @@
     silent: bool = False
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """A target that said that it leaves.
+
+    Parameters
+    ----------
+    born_ms
+        Unix time; all its starts up to then have left.
+
+    """
+
+    target: TargetId
+    born_ms: int
+
+
 class Poll(Message, frozen=True, array_like=True, tag=_POLL_TAG):
     """Ask the leader what changed.
 
@@ -70,6 +85,9 @@
         What the sender lacks of the configuration in force.
     whole
         True if ``rows`` are all targets, not only the changed ones.
+    departed
+        Departures since the poll's position. They hold for all that the
+        receiver knows of these targets, also if ``rows`` lack them.
 
     """
 
@@ -83,6 +101,7 @@
     rows: tuple[TargetRow, ...] = ()
     whole: bool = False
     content: ContentDelta | WholeContent | None = None
+    departed: tuple[Departure, ...] = ()
 
 
 class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
@@ -120,6 +139,7 @@
 __all__ = (
     'MESSAGES',
     'AnnouncementTaken',
+    'Departure',
     'LeaderHint',
     'PassedAnnouncement',
     'Poll',
--- a/src/cranberryseam/configuration/entries.py
+++ b/src/cranberryseam/configuration/entries.py
@@ -79,7 +79,14 @@
 
 
 class TargetDeparted(Entry, frozen=True, array_like=True, tag=7):
-    """A target said that it leaves; ``born_ms`` is the time of its start."""
+    """A target said that it leaves.
+
+    Parameters
+    ----------
+    born_ms
+        Unix time; all its starts up to then have left.
+
+    """
 
     target: str
     born_ms: int
@@ -124,11 +131,25 @@
         case DocumentStored():
             return _apply_document(before, version, entry)
         case TargetDeparted():
-            departed = (*before.departed, (entry.target, entry.born_ms))
-            return _evolve(before, version, departed=departed[-MOST_DEPARTED:])
+            departed = _add_departure(before.departed, entry)
+            return _evolve(before, version, departed=departed)
     return _evolve(before, version)
 
 
+def _add_departure(
+    departed: tuple[tuple[str, int], ...], entry: TargetDeparted
+) -> tuple[tuple[str, int], ...]:
+    born_ms = entry.born_ms
+    others = []
+    for target, before_ms in departed:
+        if target == entry.target:
+            # The report of an earlier start may come after that of a later.
+            born_ms = max(born_ms, before_ms)
+        else:
+            others.append((target, before_ms))
+    return (*others, (entry.target, born_ms))[-MOST_DEPARTED:]
+
+
 def diff_lists(
     before: Configuration, lists: Lists, command_key: str
 ) -> ListsChanged:
--- a/src/cranberryseam/configuration/model.py
+++ b/src/cranberryseam/configuration/model.py
@@ -230,8 +230,8 @@
     document
         The operator's document in force, if documents are used.
     departed
-        Ids with the start time of targets that said that they leave, oldest
-        first; bounded.
+        Targets that said that they leave, with the time up to which their
+        starts have left, in Unix milliseconds; oldest first and bounded.
 
     """
 
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -62,7 +62,7 @@
     Parameters
     ----------
     born_ms
-        Unix time of its start, which tells it from a later one of that id.
+        Unix time; all its starts up to then leave.
 
     """
 
--- a/tests/configuration/test_model.py
+++ b/tests/configuration/test_model.py
@@ -6,8 +6,10 @@
 from parameterized import parameterized
 
 from cranberryseam.configuration.entries import (
+    MOST_DEPARTED,
     KeyGranted,
     KeyWithdrawn,
+    TargetDeparted,
     apply_entry,
     diff_lists,
     list_rows,
@@ -94,3 +96,36 @@
         self.assertEqual(second.withdrawn, {key_id})
         self.assertEqual(first.withdrawn, frozenset())
         self.assertEqual(second.lists_version, 0)
+
+    @parameterized.expand(
+        [
+            ('two targets', [('a', 1), ('b', 2)], (('a', 1), ('b', 2))),
+            (
+                'later start',
+                [('a', 1), ('b', 2), ('a', 3)],
+                (('b', 2), ('a', 3)),
+            ),
+            ('late report', [('a', 3), ('a', 1)], (('a', 3),)),
+        ]
+    )
+    def test_departures(
+        self,
+        _: str,
+        departures: list[tuple[str, int]],
+        expected: tuple[tuple[str, int], ...],
+    ) -> None:
+        """Guards against a late report that lets a later start come back."""
+        after = Configuration()
+        for version, (target, born_ms) in enumerate(departures, 1):
+            entry = TargetDeparted(target, born_ms)
+            after = apply_entry(after, version, entry)
+        self.assertEqual(after.departed, expected)
+
+    def test_departures_are_bounded(self) -> None:
+        """Guards against a log that grows with every target that left."""
+        after = Configuration()
+        for version in range(1, MOST_DEPARTED + 3):
+            entry = TargetDeparted(f't{version}', 1)
+            after = apply_entry(after, version, entry)
+        self.assertEqual(len(after.departed), MOST_DEPARTED)
+        self.assertEqual(after.departed[0], ('t3', 1))
