Ignore announcements for services that the configuration doesn't name

An announcement from another writer under the name of a target, for a service that nobody configured, replaced the target's row.

The control leader now ignores such announcements, and a VM whose target moves to another service drops it from the one before.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -252,7 +252,11 @@
         else:
             self.rows[target] = row
         changed = TargetChanged(at, row.announcement, row.silent)
-        return [changed, _log_target(row)]
+        outputs: list[Output] = [changed, _log_target(row)]
+        if before and before.announcement.service != row.announcement.service:
+            # Other parts keep targets by service.
+            outputs.insert(0, TargetChanged(at, before.announcement, True))
+        return outputs
 
     def _take_departure(self, departure: Departure, at: float) -> list[Output]:
         """Stop using a target that left, as this VM knows it.
--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -278,12 +278,17 @@
         self, sender: VmId, reply_id: int, came: Announcement, at: float
     ) -> list[Output]:
         """Act on an announcement; without authority nobody answers it."""
-        if self._find_authority(at) is None:
+        authority = self._find_authority(at)
+        if authority is None:
             return [IncrementCounter('hub.announcement_without_authority')]
         known = self._entries.get(came.target)
         if came.state is TargetState.draining:
             return self._start_departure(sender, reply_id, came, at)
         taken = SendMessage(sender, AnnouncementTaken(reply_id))
+        services = authority.configuration.services
+        if services and came.service not in services:
+            # It names no target of this fleet, whoever sent it.
+            return [taken, *_ignore(came, known, 'unknown_service')]
         left = self._departures.cover_announcement(came)
         if left or not _is_newer(came, known):
             return [taken, *_ignore(came, known, 'outdated')]
--- a/tests/attachment/test_departures.py
+++ b/tests/attachment/test_departures.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import random
+
 from parameterized import parameterized
 from testtools import TestCase
 
+from cranberryseam.attachment.client import Attachment
+from cranberryseam.attachment.messages import PollReply, TargetRow
 from cranberryseam.core import events as ev
-from cranberryseam.types import ServiceName, TargetId
+from cranberryseam.core.notices import TargetChanged
+from cranberryseam.types import ServiceName, TargetId, VmId
 
 from .attached_fleet import (
     CONTROL,
     ENTRIES,
     AttachedFleet,
     make_announcement,
+    make_settings,
     run_fleet,
 )
 
@@ -123,6 +129,15 @@
 class ForeignAnnouncementTest(TestCase):
     """Announcements under a target's name that another writer sent."""
 
+    def test_announcement_for_another_service(self) -> None:
+        """Guards against a target that another writer takes out of use."""
+        with run_fleet() as fleet:
+            foreign = make_announcement(sequence=2, service='other')
+            fleet.run_until(fleet.announce('c1', foreign), 1)
+            fleet.run(1)
+            for name in ENTRIES:
+                self.assertEqual(fleet.reason(name), '')
+
     def test_departure_after_an_announcement_for_another_service(self) -> None:
         """Guards against a row that VMs hold under two services."""
         with run_fleet() as fleet:
@@ -133,3 +148,34 @@
             fleet.run(DRAINED_S)
             for name in ENTRIES:
                 self.assertEqual(fleet.reason(name), 'no_target')
+
+
+class RowsTest(TestCase):
+    """The rows that a VM takes over from its leader."""
+
+    def test_start_for_another_service(self) -> None:
+        """Guards against a target that stays in use in its first service."""
+        attachment = Attachment(make_settings('e1'), random.Random(1))
+        changes = []
+        for position, service in enumerate(('katalogi', 'malipo'), 1):
+            came = make_announcement(born_ms=position, service=service)
+            reply = PollReply(
+                sent_at=position,
+                age_s=0,
+                term=1,
+                position=position,
+                members_index=1,
+                vm_count=1,
+                rows=(TargetRow(came),),
+                whole=position == 1,
+            )
+            event = ev.MessageReceived(position, VmId('c1'), reply)
+            changes += [
+                (output.announcement.service, output.silent)
+                for output in attachment.handle(event)
+                if isinstance(output, TargetChanged)
+            ]
+        self.assertEqual(
+            changes,
+            [('katalogi', False), ('katalogi', True), ('malipo', False)],
+        )
