--- a/src/cranberryseam/serving/replies.py
+++ b/src/cranberryseam/serving/replies.py
@@ -4,18 +4,26 @@
 
 import asyncio
 import itertools
-from typing import Generic, TypeVar
+import secrets
+from typing import Final, Generic, TypeVar
 
 import attrs
 
 _Reply = TypeVar('_Reply')
+# Replies travel between VMs, so a late one may meet the next process at this
+# address. With 2**48 first numbers its numbers are not those of the one before.
+_FIRST_BITS: Final = 48
+
+
+def _count_from_random() -> itertools.count[int]:
+    return itertools.count(secrets.randbits(_FIRST_BITS))
 
 
 @attrs.define(eq=False)
 class Replies(Generic[_Reply]):
-    """Waiters for replies, by number."""
+    """Waiters for replies, by a number that no earlier process has used."""
 
-    _ids: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
+    _ids: itertools.count[int] = attrs.field(factory=_count_from_random)
     _waiters: dict[int, asyncio.Future[_Reply]] = attrs.field(factory=dict)
 
     def open(self) -> tuple[int, asyncio.Future[_Reply]]:
