Ignore message numbers above those that were sent

Numbers of messages between VMs begin at the time of day. After a restart with the clock set back, the other side still told a number of the run before; it counted as an acknowledgement of all messages to come, so that a connection that swallows messages was not dialled again, for 1 s of stepped time each. Found by reading. LinkTest.test_number_of_an_earlier_run failed before.

--- a/src/cranberryseam/daemon/peers.py
+++ b/src/cranberryseam/daemon/peers.py
@@ -39,7 +39,7 @@
 
 
 @attrs.define(eq=False)
-class _Link:
+class Link:
     """Numbers of the messages to and from one VM.
 
     Parameters
@@ -68,7 +68,9 @@
     def note_receipt(self, number: int, heard: int, now: float) -> None:
         """Take the numbers of a message from the VM."""
         self.heard = number
-        if heard > self.acknowledged:
+        # After a step of the clock back the other side may still tell a number
+        # of an earlier run of this process, above all that was sent since.
+        if self.acknowledged < heard <= self.sent:
             self.acknowledged = heard
             self.unheard_since = now
 
@@ -107,7 +109,7 @@
         self._metrics = metrics
         self._addresses: dict[VmId, str] = {}
         self._sockets: OrderedDict[VmId, pynng.Push0] = OrderedDict()
-        self._links: dict[VmId, _Link] = {}
+        self._links: dict[VmId, Link] = {}
 
     def execute(self, effect: Effect) -> bool:
         """Send a message or learn an address; False for other effects."""
@@ -175,10 +177,10 @@
         kind = type(effect.message).__name__
         self._metrics.increment(f'peers.bytes_sent.{kind}', len(raw))
 
-    def _find_link(self, vm: VmId) -> _Link:
+    def _find_link(self, vm: VmId) -> Link:
         link = self._links.get(vm)
         if link is None:
-            link = _Link(int(time.time() * _NUMBERS_PER_S))
+            link = Link(int(time.time() * _NUMBERS_PER_S))
             link.acknowledged = link.sent
             self._links[vm] = link
         return link
@@ -247,4 +249,4 @@
     return socket
 
 
-__all__ = ('Peers', 'open_peers')
+__all__ = ('SILENT_S', 'Link', 'Peers', 'open_peers')
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -16,7 +16,7 @@
 from cranberryseam.core.effects import SendMessage
 from cranberryseam.core.events import MessageReceived
 from cranberryseam.daemon.metrics import Metrics
-from cranberryseam.daemon.peers import Peers, open_peers
+from cranberryseam.daemon.peers import SILENT_S, Link, Peers, open_peers
 from cranberryseam.types import VmId
 
 POLL_S = 0.1
@@ -131,3 +131,19 @@
                 return other.received - before
 
         self.assertGreater(asyncio.run(scenario()), 5)
+
+
+class LinkTest(TestCase):
+    """Numbers by which a silent connection is noticed."""
+
+    def test_number_of_an_earlier_run(self) -> None:
+        """Guards against a silent connection after a step of the clock.
+
+        Numbers begin at the time of day. After a restart with the clock set
+        back, the other side still names a higher number of the run before.
+        """
+        link = Link(sent=1_000, acknowledged=1_000)
+        link.note_receipt(number=1, heard=9_000, now=1)
+        link.note_send(now=1)
+        self.assertFalse(link.is_silent(1))
+        self.assertTrue(link.is_silent(1 + SILENT_S))
