End an answer whose bytes never end with the longest wait of its route

Callers would see: a request whose target sends an endless body stays open as long as the caller does, and holds a slot in the VM's count. Only a stall of 30 s ended it; the timeout of the request was dropped once the first 64 KB had arrived.

An attempt now has a time for the end of its whole answer: the deadline and 0.2 s, on routes that state a longest wait. Other routes may stream. The caller's connection is closed before the answer looks complete.

--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -71,6 +71,8 @@
         Client account whose request it is, empty on a public route.
     most_idle_s
         Seconds for which a connection may have been idle to be used again.
+    ends_within_s
+        Seconds until the end of the answer; a later one is broken off.
 
     """
 
@@ -83,6 +85,7 @@
     keep_answer: bool = False
     account: str = ''
     most_idle_s: float = math.inf
+    ends_within_s: float = math.inf
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/flights.py
+++ b/src/cranberryseam/requests/flights.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import math
+from typing import Final
+
 from ..core import effects as fx
 from ..core import notices as nt
 from ..routing.model import AdmitRequest
 from ..types import AttemptId, RequestId
 from .state import Flight, RequestState
 
+# An answer that is on its way at the deadline gets this long to end. Callers
+# that wait no longer than the route allows count half a second as late.
+ENDING_S: Final = 0.2
+
 
 class FlightNumbers:
     """Numbers of the attempts of this VM, and of the slots of second ones."""
@@ -75,17 +82,21 @@
         Seconds for which its connection may have been idle.
 
     """
+    left_s = state.deadline_at - assigned.at
+    # Without a longest wait, an answer may be a stream of any duration.
+    bounded = state.route.most_wait_s > 0
     return fx.StartAttempt(
         request_id=state.request_id,
         attempt_id=flight.attempt_id,
         target=flight.target,
         host=assigned.host,
         port=assigned.port,
-        timeout_s=state.deadline_at - assigned.at,
+        timeout_s=left_s,
         keep_answer=state.claimed,
         account='' if state.key_hash is None else state.account,
         most_idle_s=most_idle_s,
+        ends_within_s=left_s + ENDING_S if bounded else math.inf,
     )
 
 
-__all__ = ('FlightNumbers', 'build_admit', 'build_start')
+__all__ = ('ENDING_S', 'FlightNumbers', 'build_admit', 'build_start')
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -73,6 +74,7 @@
         self._forwarding = False
         self._cancelled = False
         self._expired = False
+        self._begun = loop.time()
         self._timer = loop.call_later(effect.timeout_s, self._expire)
         self._task = loop.create_task(self._run())
         # Also called if the task is cancelled before its first step.
@@ -145,7 +147,7 @@
         await read_first_part(answer)
         if answer.complete:
             await self._release(reusable=answer.measured)
-        self._timer.cancel()
+        self._limit_rest(answer)
         self._report_ready(answer)
         if not self._go.done():
             async with asyncio.timeout(_DECISION_S):
@@ -153,6 +155,16 @@
         await self._forward(answer)
         return None
 
+    def _limit_rest(self, answer: Answer) -> None:
+        """Replace the timeout of the first part by that of the whole."""
+        self._timer.cancel()
+        ends_within_s = self._effect.ends_within_s
+        if not answer.complete and ends_within_s < math.inf:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(
+                self._begun + ends_within_s, self._expire
+            )
+
     async def _forward(self, answer: Answer) -> None:
         call = self._call
         if call.outcome.done() or call.answering:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -45,6 +45,14 @@
         Route('pay', ServiceName('malipo'), '/pay', ('GET', 'POST')),
         Route('open', ServiceName('malipo'), '/open', ('GET',), public=True),
         Route('other', ServiceName('malipo'), '/other', ('GET',)),
+        Route(
+            'brief',
+            ServiceName('malipo'),
+            '/brief',
+            ('GET',),
+            public=True,
+            most_wait_s=2.0,
+        ),
     ),
     services=(Service(ServiceName('malipo')),),
 )
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 import attrs
@@ -12,6 +13,7 @@
 from cranberryseam.core import events as ev
 from cranberryseam.core.notices import KeysWithdrawn, Notice, SlotDenied
 from cranberryseam.core.refusals import Ran, RefusalReason
+from cranberryseam.requests.flights import ENDING_S
 from cranberryseam.routing.model import AttemptOutcome
 from cranberryseam.types import AttemptId, RequestId
 
@@ -210,6 +212,22 @@
             driver.apply(_answer(2, 200))[0], fx.ForwardAnswer
         )
 
+    @parameterized.expand([('/brief', 2 + ENDING_S), ('/open', math.inf)])
+    def test_end_of_the_whole_answer(
+        self, path: str, ends_within_s: float
+    ) -> None:
+        """Guards against an answer that goes on past the longest wait.
+
+        On a route without a longest wait an answer may be a stream.
+        """
+        driver = _Driver(FakeParts())
+        (started,) = (
+            effect
+            for effect in driver.apply(_arrive(build_head('GET', path)))
+            if isinstance(effect, fx.StartAttempt)
+        )
+        self.assertEqual(started.ends_within_s, ends_within_s)
+
     def test_broken_stream_is_not_whole(self) -> None:
         parts = FakeParts()
         driver = _Driver(parts)
