Split the table of targets from the hub

The hub had grown to 456 lines and did three things: replies to polls, announcements, and the table with its positions. The table is a module of its own now. No decision changes.

--- a/src/cranberryseam/attachment/hub.py
+++ b/src/cranberryseam/attachment/hub.py
@@ -6,8 +6,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
 
-import attrs
-
 from ..configuration.entries import TargetDeparted
 from ..configuration.settings import Settings
 from ..control.replica import Authority
@@ -37,7 +35,7 @@
 )
 from ..types import Output, TargetId, VmId
 from .content import ContentSource
-from .departures import Departures, Waiter
+from .departures import Waiter
 from .messages import (
     AnnouncementTaken,
     Departure,
@@ -48,15 +46,11 @@
     TargetRow,
 )
 from .owners import UNPROVEN_S
+from .table import TargetTable
 
 PART: Final = 'hub'
 _TIMER: Final = 'sweep'
 _SWEEP_S: Final = 0.5
-# A target may be cut off from the control VMs while entry VMs still reach it,
-# so it is given up late; entry VMs notice by themselves that it is down.
-SILENT_S: Final = 20.0
-# A departed target stays in the table for VMs that were cut off meanwhile.
-_DEPARTED_S: Final = 60.0
 # VMs that lost their leader find a new one within this.
 _COUNTED_S: Final = 1.5
 # A VM that has not polled for this long asks another control VM.
@@ -90,22 +84,6 @@
         """Rows by target."""
 
 
-@attrs.define(eq=False)
-class _Entry:
-    """A target in the leader's table.
-
-    Parameters
-    ----------
-    position
-        Position of the last change of its row in the table.
-
-    """
-
-    row: TargetRow
-    heard_at: float
-    position: int
-
-
 class Hub:
     """Owns the table of targets while this VM leads the control log.
 
@@ -129,9 +107,7 @@
         self._replica = replica
         self._copy = copy
         self._term = 0
-        self._position = 0
-        self._entries: dict[TargetId, _Entry] = {}
-        self._departures = Departures()
+        self._table = TargetTable()
         self._started_at: float = 0
         self._started_wall_s: float = 0
         self._polled_at: dict[VmId, float] = {}
@@ -212,20 +188,12 @@
 
     def _take_over(self, authority: Authority, at: float) -> None:
         self._term = authority.term
-        self._position = 1
         departed = authority.configuration.departed
-        self._departures.restore(departed, self._position)
-        self._entries = {
-            target: _Entry(row, at, self._position)
-            for target, row in self._copy.rows.items()
-        }
-        for entry in self._entries.values():
-            if self._departures.cover_announcement(entry.row.announcement):
-                self._mark_draining(entry)
+        self._table.restore(self._copy.rows, departed, at)
         fields = {
             'term': self._term,
-            'targets': len(self._entries),
-            'departed': len(self._departures),
+            'targets': len(self._table),
+            'departed': len(self._table.departures),
         }
         self._lines.append(
             WriteLog(logging.INFO, 'table of targets taken over', fields)
@@ -240,13 +208,6 @@
         # A table belongs to one term; positions of another mean nothing.
         whole = poll.term != self._term
         after = 0 if whole else poll.position
-        rows: tuple[TargetRow, ...] = ()
-        if after < self._position:
-            rows = tuple(
-                entry.row
-                for entry in self._entries.values()
-                if entry.position > after
-            )
         index = self._replica.members_index
         members: tuple[VmId, ...] = ()
         if poll.members_index != index:
@@ -255,16 +216,16 @@
             sent_at=poll.sent_at,
             age_s=max(0, at - authority.confirmed_at),
             term=self._term,
-            position=self._position,
+            position=self._table.position,
             members_index=index,
             vm_count=self._count_vms(authority, at),
             members=members,
-            rows=rows,
+            rows=self._table.list_rows(after),
             whole=whole,
             content=self._source.find(
                 authority.configuration, poll.content_version
             ),
-            departed=self._departures.list_after(after),
+            departed=self._table.departures.list_after(after),
         )
 
     def _pass_on(self, event: TargetAnnounced) -> list[Output]:
@@ -281,63 +242,50 @@
         authority = self._find_authority(at)
         if authority is None:
             return [IncrementCounter('hub.announcement_without_authority')]
-        known = self._entries.get(came.target)
         if came.state is TargetState.draining:
             return self._start_departure(sender, reply_id, came, at)
+        ignored = self._find_fault(came, authority)
+        if not ignored:
+            self._table.update(came, at)
         taken = SendMessage(sender, AnnouncementTaken(reply_id))
+        return [taken, *self._describe_ignored(came, ignored)]
+
+    def _find_fault(self, came: Announcement, authority: Authority) -> str:
+        """Return why an announcement changes nothing, empty if it does."""
         services = authority.configuration.services
         if services and came.service not in services:
             # It names no target of this fleet, whoever sent it.
-            return [taken, *_ignore(came, known, 'unknown_service')]
-        left = self._departures.cover_announcement(came)
-        if left or not _is_newer(came, known):
-            return [taken, *_ignore(came, known, 'outdated')]
-        if not self._claim_address(came):
-            return [taken, *_ignore(came, known, 'address_taken')]
-        self._update(came, at)
-        return [taken]
-
-    def _update(self, came: Announcement, at: float) -> None:
-        known = self._entries.get(came.target)
-        if known is None:
-            self._entries[came.target] = _Entry(
-                TargetRow(came), at, self._advance()
-            )
-            return
-        known.heard_at = at
-        before = known.row
-        same = (
-            attrs.evolve(came, sequence=before.announcement.sequence)
-            == before.announcement
-        )
-        if before.silent or not same:
-            known.position = self._advance()
-        known.row = TargetRow(came)
+            return 'unknown_service'
+        if self._table.is_outdated(came):
+            return 'outdated'
+        return '' if self._table.claim_address(came) else 'address_taken'
 
-    def _claim_address(self, came: Announcement) -> bool:
-        """Give an address to the target that started last at it.
-
-        A late announcement of a target that crashed must not take the
-        address back from its successor.
-        """
-        for target, entry in self._entries.items():
-            other = entry.row.announcement
-            if entry.row.silent or target == came.target:
-                continue
-            if (other.host, other.port) != (came.host, came.port):
-                continue
-            if other.born_ms > came.born_ms:
-                return False
-            self._mark_silent(entry)
-        return True
+    def _describe_ignored(
+        self, came: Announcement, reason: str
+    ) -> list[Output]:
+        if not reason:
+            return []
+        known = self._table.find(came.target)
+        fields = {
+            'target': came.target,
+            'reason': reason,
+            'born_ms': came.born_ms,
+            'sequence': came.sequence,
+            'known_born_ms': known.born_ms if known else None,
+            'known_sequence': known.sequence if known else None,
+        }
+        return [
+            IncrementCounter(f'hub.announcement_{reason}'),
+            WriteLog(logging.INFO, 'announcement ignored', fields),
+        ]
 
     def _start_departure(
         self, sender: VmId, reply_id: int, came: Announcement, at: float
     ) -> list[Output]:
         departure = Departure(came.target, self._find_born(came, at))
-        if self._departures.cover(departure.target, departure.born_ms):
+        if self._table.departures.cover(departure.target, departure.born_ms):
             return [SendMessage(sender, AnnouncementTaken(reply_id))]
-        if self._departures.wait(departure, Waiter(sender, reply_id, at)):
+        if self._table.departures.wait(departure, Waiter(sender, reply_id, at)):
             return [DepartureReported(at, departure.target, departure.born_ms)]
         return []
 
@@ -348,24 +296,21 @@
         """
         if came.born_ms:
             return came.born_ms
-        known = self._entries.get(came.target)
-        if known is not None and known.row.announcement.born_ms:
-            return known.row.announcement.born_ms
+        known = self._table.find(came.target)
+        if known is not None and known.born_ms:
+            return known.born_ms
         wall_s = self._started_wall_s + at - self._started_at
         return round(wall_s * _MS)
 
     def _finish_departure(
         self, departure: Departure, at: float
     ) -> list[Output]:
-        self._departures.add(departure, self._advance())
-        entry = self._entries.get(departure.target)
-        waiters = self._departures.take_waiters(departure)
+        waiters = self._table.departures.take_waiters(departure)
         if waiters:
+            known = self._table.find(departure.target)
             waited_s = at - waiters[0].since
-            self._lines.append(_describe_departure(departure, entry, waited_s))
-        if entry and entry.row.announcement.born_ms <= departure.born_ms:
-            self._mark_draining(entry)
-            entry.heard_at = at
+            self._lines.append(_describe_departure(departure, known, waited_s))
+        self._table.depart(departure, at)
         return [
             SendMessage(waiter.vm, AnnouncementTaken(waiter.reply_id))
             for waiter in waiters
@@ -374,42 +319,18 @@
     def _sweep(self, at: float) -> list[Output]:
         outputs = self._forget_vms(at)
         outputs.append(SetTimer(PART, _TIMER, at + _SWEEP_S))
-        if self._find_authority(at) is None:
-            return outputs
-        for target, entry in tuple(self._entries.items()):
-            unheard_s = at - entry.heard_at
-            state = entry.row.announcement.state
-            kept_s = _DEPARTED_S if _is_leaving(state) else SILENT_S
-            if unheard_s > kept_s and not entry.row.silent:
-                self._mark_silent(entry)
-            elif unheard_s > kept_s + _DEPARTED_S:
-                self._entries.pop(target)
+        if self._find_authority(at) is not None:
+            self._table.sweep(at)
         return outputs
 
-    def _mark_draining(self, entry: _Entry) -> None:
-        leaving = attrs.evolve(
-            entry.row.announcement, state=TargetState.draining
-        )
-        entry.row = TargetRow(leaving, entry.row.silent)
-        entry.position = self._advance()
-
-    def _mark_silent(self, entry: _Entry) -> None:
-        entry.row = TargetRow(entry.row.announcement, silent=True)
-        entry.position = self._advance()
-
-    def _advance(self) -> int:
-        self._position += 1
-        return self._position
-
 
 def _describe_departure(
-    departure: Departure, entry: _Entry | None, waited_s: float
+    departure: Departure, known: Announcement | None, waited_s: float
 ) -> WriteLog:
     """Return the line for a departure that is acknowledged.
 
     What the table holds of the target decides whether VMs are told.
     """
-    known = entry.row.announcement if entry else None
     fields = {
         'target': departure.target,
         'born_ms': departure.born_ms,
@@ -421,36 +342,4 @@
     return WriteLog(logging.INFO, 'departure accepted', fields)
 
 
-def _ignore(
-    came: Announcement, known: _Entry | None, reason: str
-) -> list[Output]:
-    before = known.row.announcement if known else None
-    fields = {
-        'target': came.target,
-        'reason': reason,
-        'born_ms': came.born_ms,
-        'sequence': came.sequence,
-        'known_born_ms': before.born_ms if before else None,
-        'known_sequence': before.sequence if before else None,
-    }
-    return [
-        IncrementCounter(f'hub.announcement_{reason}'),
-        WriteLog(logging.INFO, 'announcement ignored', fields),
-    ]
-
-
-def _is_leaving(state: TargetState) -> bool:
-    return state is TargetState.draining
-
-
-def _is_newer(came: Announcement, known: _Entry | None) -> bool:
-    """Return whether an announcement follows the one that is known."""
-    if known is None:
-        return True
-    before = known.row.announcement
-    if came.born_ms != before.born_ms:
-        return came.born_ms > before.born_ms
-    return came.sequence > before.sequence
-
-
-__all__ = ('PART', 'SILENT_S', 'Hub')
+__all__ = ('PART', 'Hub')
