--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -54,15 +54,14 @@
     Tuning,
 )
 from .reporting import Reporting, take_view
-from .service import ServiceState
+from .services import ServiceTable
 from .shared_budget import SharedRetries
 from .sharing import TELL, HealthSharing
-from .target import Target, hash_name
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
-    from ..configuration.settings import Settings, VmSettings
+    from ..configuration.settings import Settings
     from ..core.events import Announcement
     from ..types import (
         AccountId,
@@ -109,15 +108,11 @@
         tuning: Tuning | None = None,
     ) -> None:
         """Start without targets."""
-        self._vm = settings.vm
-        self._places = dict(settings.places)
         self._id = settings.vm_id
         self._rng = rng
         self._tuning = attrs.evolve(
             tuning or Tuning(), regions=_count_regions(settings)
         )
-        self._services: dict[ServiceName, ServiceState] = {}
-        self._floors: dict[str, float] = {}
         self._version = 0
         self._admission = Admission(rng)
         self._budgets = RetryBudgets()
@@ -130,10 +125,10 @@
             self._id, settings.vm.region, self._tuning, ownership, rng
         )
         self._sharing = HealthSharing(
-            settings.vm.region, ownership, self._places
+            settings.vm.region, ownership, dict(settings.places)
         )
+        self._services = ServiceTable(settings, self._tuning, self._sharing)
         self._idle = IdleConnections(settings.vm.region, ownership)
-        self._started_at: float = 0
         self._decayed_at: float = 0
 
     def handle(self, event: Event | Notice) -> list[Output]:
@@ -154,7 +149,7 @@
                     show_targets(
                         event.command_id,
                         self._version,
-                        self._services.values(),
+                        self._services,
                         event.at,
                     )
                 ]
@@ -173,7 +168,7 @@
         comes later from another call.
 
         """
-        state = self._services.get(request.service)
+        state = self._services.find(request.service)
         if state is None or not any(state.near(at)):
             reason = RefusalReason.no_target
             return [
@@ -188,7 +183,7 @@
         self, request: AdmitRequest, at: float
     ) -> SlotAssigned | None:
         """Assign a slot at a target that wasn't tried, if one is free."""
-        state = self._services.get(request.service)
+        state = self._services.find(request.service)
         if state is None or state.waiting() or state.is_loaded(at):
             return None
         return self._admission.assign_other(state, request, at)
@@ -268,7 +263,7 @@
             Time within which an answer is of full use; 0 if unknown.
 
         """
-        state = self._services.get(service)
+        state = self._services.find(service)
         if state is None or state.waiting():
             return None
         latency = state.lane(INTERACTIVE_LANE).latency
@@ -285,7 +280,7 @@
         self, service: ServiceName, at: float
     ) -> frozenset[TargetId]:
         """Return the targets that this VM excludes now."""
-        state = self._services.get(service)
+        state = self._services.find(service)
         if state is None:
             return frozenset()
         state.near(at)
@@ -324,7 +319,7 @@
         return self._deliver(shared, at)
 
     def _start(self, at: float) -> list[Output]:
-        self._started_at = at
+        self._services.start(at)
         self._leading.start(at)
         # Random phase, so that the VMs' reports don't arrive at once.
         first = at + self._rng.random() * self._tuning.tick_s
@@ -343,7 +338,7 @@
         if name == DECIDE:
             return self._deliver(self._leading.decide(at), at)
         kind, _, service = name.partition(':')
-        state = self._services.get(service)  # type: ignore[call-overload]
+        state = self._services.find(service)
         if state is None:
             return []
         return self._admission.fire(kind, state, at)
@@ -351,7 +346,7 @@
     def _tick(self, at: float) -> list[Output]:
         outputs: list[Output] = [SetTimer(PART, TICK, at + self._tuning.tick_s)]
         outputs.extend(self._report(at))
-        for state in self._services.values():
+        for state in self._services:
             for lane in state.lanes.values():
                 lane.update_rate(self._tuning.tick_s)
             # Ejections that have expired since free targets without an event.
@@ -360,7 +355,7 @@
         outputs.extend(self._note_overdue(at))
         if at >= self._decayed_at + _ACCOUNT_DECAY_S:
             self._decayed_at = at
-            for state in self._services.values():
+            for state in self._services:
                 state.accounts.decay()
         return outputs
 
@@ -382,7 +377,7 @@
 
     def _report(self, at: float) -> list[Output]:
         outputs: list[Output] = []
-        for due in self._reporting.collect(self._services.values(), at):
+        for due in self._reporting.collect(self._services, at):
             outputs.append(SendMessage(due.leader, due.report))
         return self._deliver(outputs, at)
 
@@ -423,7 +418,7 @@
         return []
 
     def _take_view(self, view: ServiceView, at: float) -> list[Output]:
-        state = self._services.get(view.service)  # type: ignore[call-overload]
+        state = self._services.find(view.service)
         if state is None or not take_view(state, view, at):
             return []
         return self._admission.dispatch(state, at)
@@ -431,68 +426,15 @@
     def _configure(self, event: ConfigurationChanged) -> None:
         configuration = event.configuration
         self._version = configuration.version
-        self._floors = {
-            name: service.floor
-            for name, service in configuration.services.items()
-        }
-        for name, state in self._services.items():
-            state.floor = self._floors.get(name, state.floor)
-            state.invalidate()
+        self._services.configure(configuration)
         self._leading.configure(configuration.services)
 
     def _change_target(
         self, announcement: Announcement, silent: bool, at: float
     ) -> list[Output]:
         self._leading.update_target(announcement, silent, at)
-        state = self._services.get(announcement.service)
-        if state is None:
-            state = ServiceState(announcement.service, self._tuning)
-            state.floor = self._floors.get(state.name, state.floor)
-            self._services[state.name] = state
-        target = state.targets.get(announcement.target)
-        if target is not None and target.repeats(announcement, silent):
-            return []
-        state.invalidate()
-        if target is None:
-            target = self._create_target(announcement, at)
-            state.targets[announcement.target] = target
-            self._sharing.add_target(target)
-        was_cold = target.cold or target.silent
-        target.announcement = announcement
-        target.silent = silent
-        target.limit = min(target.limit, float(announcement.slots))
-        if was_cold and not (target.cold or silent):
-            target.ramp_from = at
-            target.limit = float(announcement.slots)
-        if silent and not target.in_use:
-            self._sharing.remove_target(target)
-            state.targets.pop(announcement.target)
-            state.touched.pop(announcement.target, None)
-        return self._admission.dispatch(state, at)
-
-    def _create_target(self, announcement: Announcement, at: float) -> Target:
-        distance = _measure_distance(self._vm, self._places, announcement)
-        target = Target(announcement, hash_name(announcement.target), distance)
-        target.limit = float(announcement.slots)
-        target.used_at = at
-        target.decayed_at = at
-        if at >= self._started_at + self._tuning.grace_s:
-            target.ramp_from = at
-        return target
-
-
-def _measure_distance(
-    vm: VmSettings, places: Mapping[str, str], announcement: Announcement
-) -> int:
-    """Return 0 in the own data centre, 1 in the own region, else 2."""
-    own = vm.region
-    other = announcement.region
-    if places:
-        own = places.get(vm.data_centre, own)
-        other = places.get(announcement.data_centre, '')
-    if own != other:
-        return 2
-    return int(announcement.data_centre != vm.data_centre)
+        state = self._services.change_target(announcement, silent, at)
+        return self._admission.dispatch(state, at) if state else []
 
 
 def _count_regions(settings: Settings) -> int:
--- /dev/null
+++ b/src/cranberryseam/routing/services.py
@@ -0,0 +1,128 @@
+"""The services of one VM with their targets, as these announce themselves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .service import ServiceState
+from .target import Target, hash_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from ..configuration.model import Configuration
+    from ..configuration.settings import Settings, VmSettings
+    from ..core.events import Announcement
+    from ..types import ServiceName
+    from .model import Tuning
+    from .sharing import HealthSharing
+
+
+class ServiceTable:
+    """States of all services.
+
+    Parameters
+    ----------
+    settings
+        Place of this VM, and the regions of data centres.
+    tuning
+        Constants.
+    sharing
+        Is told of the targets that come and go.
+
+    """
+
+    def __init__(
+        self, settings: Settings, tuning: Tuning, sharing: HealthSharing
+    ) -> None:
+        """Start without targets."""
+        self._vm = settings.vm
+        self._places = dict(settings.places)
+        self._tuning = tuning
+        self._sharing = sharing
+        self._states: dict[str, ServiceState] = {}
+        self._floors: dict[str, float] = {}
+        self._started_at: float = 0
+
+    def __iter__(self) -> Iterator[ServiceState]:
+        """Return the states of all services."""
+        return iter(self._states.values())
+
+    def start(self, at: float) -> None:
+        """Note the start; targets known from then on are not new."""
+        self._started_at = at
+
+    def find(self, service: str) -> ServiceState | None:
+        """Return the state of a service that has or had targets."""
+        return self._states.get(service)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over the floors."""
+        self._floors = {
+            name: service.floor
+            for name, service in configuration.services.items()
+        }
+        for name, state in self._states.items():
+            state.floor = self._floors.get(name, state.floor)
+            state.invalidate()
+
+    def change_target(
+        self, announcement: Announcement, silent: bool, at: float
+    ) -> ServiceState | None:
+        """Take over what a target announced; None if it is nothing new."""
+        state = self._find_or_add(announcement.service)
+        target = state.targets.get(announcement.target)
+        if target is not None and target.repeats(announcement, silent):
+            return None
+        state.invalidate()
+        if target is None:
+            target = self._create_target(announcement, at)
+            state.targets[announcement.target] = target
+            self._sharing.add_target(target)
+        was_cold = target.cold or target.silent
+        target.announcement = announcement
+        target.silent = silent
+        target.limit = min(target.limit, float(announcement.slots))
+        if was_cold and not (target.cold or silent):
+            target.ramp_from = at
+            target.limit = float(announcement.slots)
+        if silent and not target.in_use:
+            self._sharing.remove_target(target)
+            state.targets.pop(announcement.target)
+            state.touched.pop(announcement.target, None)
+        return state
+
+    def _find_or_add(self, service: ServiceName) -> ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = ServiceState(service, self._tuning)
+            state.floor = self._floors.get(service, state.floor)
+            self._states[service] = state
+        return state
+
+    def _create_target(self, announcement: Announcement, at: float) -> Target:
+        distance = _measure_distance(self._vm, self._places, announcement)
+        target = Target(announcement, hash_name(announcement.target), distance)
+        target.limit = float(announcement.slots)
+        target.used_at = at
+        target.decayed_at = at
+        if at >= self._started_at + self._tuning.grace_s:
+            target.ramp_from = at
+        return target
+
+
+def _measure_distance(
+    vm: VmSettings, places: Mapping[str, str], announcement: Announcement
+) -> int:
+    """Return 0 in the own data centre, 1 in the own region, else 2."""
+    own = vm.region
+    other = announcement.region
+    if places:
+        own = places.get(vm.data_centre, own)
+        other = places.get(announcement.data_centre, '')
+    if own != other:
+        return 2
+    return int(announcement.data_centre != vm.data_centre)
+
+
+__all__ = ('ServiceTable',)
--- a/tests/routing/test_idle.py
+++ b/tests/routing/test_idle.py
@@ -64,6 +64,6 @@
         outputs = router.release(REQUEST, AttemptOutcome.closed_idle, 1.01)
         reports = [out for out in outputs if isinstance(out, SendMessage)]
         self.assertIn(IdleClosed(SERVICE), [one.message for one in reports])
-        target = router._services[SERVICE].targets['t1']
+        target = router._services.find(SERVICE).targets['t1']
         self.assertLess(target.failure_chance(1.01), 0.3)
         self.assertNotIsInstance(outputs[0], SlotAssigned)
--- a/tests/routing/test_spreading.py
+++ b/tests/routing/test_spreading.py
@@ -113,7 +113,7 @@
         chosen: Counter[str] = Counter()
         for seed in range(VMS):
             router = self._build(seed)
-            state = router._services[SERVICE]
+            state = router._services.find(SERVICE)
             state.demand = demand
             for number in range(TARGETS):
                 evidence = Evidence.failure
@@ -138,7 +138,7 @@
         few of them: more than a third of all requests opened one.
         """
         router = self._build(1)
-        state = router._services[SERVICE]
+        state = router._services.find(SERVICE)
         state.demand = 4
         chosen: list[str] = []
         for number in range(40):
