Let requests wait for what is about to be there after an outage

Pattern: all VMs lose power, or the control leader is lost, and requests are refused that could be served a moment later. Callers of these sites don't come back.

Change: a VM without a configuration holds requests up to 1 s or half of their patience; for 1.5 s after its first configuration it lets requests wait 0.5 s for a first target of their service; a request waits for the next owner of its limit up to 1.5 s or half of its time, if an owner answered within 3 s (behind a partition it is refused after 0.25 s as before). VMs tell a new owner what the one before had left, the least of which opens the bucket, where a tolerance is set; an owner that has just restarted gives the full rate at once; what it can't give yet isn't called beyond the rate. A control VM asks itself first, so that a new leader knows the configuration before it owns limits.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -73,6 +73,7 @@
         self._vm = settings.vm_id
         self._region = settings.vm.region
         self._data_centre = settings.vm.data_centre
+        self._is_control = 'control' in settings.vm.roles
         self._rng = rng
         self._seeds = settings.control.seeds
         self._configuration = Configuration()
@@ -132,9 +133,11 @@
         ]
 
     def _choose_others(self) -> list[VmId]:
-        known = sorted({*self._seeds, *self._members})
+        known = sorted({*self._seeds, *self._members} - {self._vm})
         count = min(_ASKED_AT_ONCE, len(known))
-        return [VmId(vm) for vm in self._rng.sample(known, count)]
+        chosen = [VmId(vm) for vm in self._rng.sample(known, count)]
+        # A new leader has to know the configuration before it owns limits.
+        return [self._vm, *chosen] if self._is_control else chosen
 
     def _poll(self, vm: VmId, at: float) -> Effect:
         self._polled_at[vm] = at
--- a/src/cranberryseam/limits/cache.py
+++ b/src/cranberryseam/limits/cache.py
@@ -56,6 +56,8 @@
         Decaying count of requests, near the number per second.
     denied_until
         Until then the owner has no token for certain.
+    ask_again_at
+        Not before then the owner is asked again for requests that wait.
 
     """
 
@@ -66,6 +68,7 @@
     recent: float = 0
     used_at: float = 0
     denied_until: float = 0
+    ask_again_at: float = 0
 
     @property
     def busy(self) -> bool:
@@ -87,6 +90,13 @@
         recent = self.recent_at(at)
         return math.ceil(recent * _BLOCK_S) if recent >= _BLOCK_FROM else 0
 
+    def count_ahead(self, at: float) -> int:
+        """Return the size of a block to ask for now, 0 for none."""
+        block = self.block_at(at)
+        if self.asks_ahead or at < self.denied_until:
+            return 0
+        return block if self.count_left(at) * 2 <= block else 0
+
     def count_left(self, at: float) -> int:
         """Return the tokens that may be used now."""
         return sum(lease.left for lease in self.leases if at < lease.until)
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from ..core.effects import SendMessage, SetTimer
 from ..core.notices import TokenDenied, TokenGranted
 from ..core.refusals import RefusalReason
-from ..types import AccountId, RequestId, VmId
+from ..types import AccountId, RequestId
 from .bucket import BLOCK_LEASE_S, SINGLE_LEASE_S
 from .cache import Ask, CachedAccount, Lease
-from .messages import LeaseReport, TokensAsked, TokensGiven, TokensReported
+from .messages import TokensAsked, TokensGiven
 from .owner import Verdict
+from .returns import LeaseReturns
 from .shares import choose_region
 from .spare import SpareTokens
+from .waiting import MOST_WAIT_S, Waiting, WaitingRequests
 
 if TYPE_CHECKING:
     import random
@@ -27,7 +27,8 @@
 PART = 'limits'
 WAIT_TIMER = 'wait'
 LEASE_TIMER = 'leases'
-MOST_WAIT_S = 0.25
+# Longer than a round trip between regions.
+_ASK_AGAIN_S = 0.1
 # Longer than a round trip to another region (60 ms).
 _RESEND_S = 0.1
 _LEASE_CHECK_S = 0.25
@@ -39,15 +40,6 @@
 _RETRY_S = 0.5
 
 
-@attrs.frozen
-class Waiting:
-    """A request that waits for a token."""
-
-    account: str
-    group: str
-    until: float
-
-
 class TokenClient:
     """Tokens of this VM: cached leases, asks and waiting requests."""
 
@@ -63,15 +55,19 @@
         self._ownership = ownership
         self._number = 0
         self._accounts: dict[str, CachedAccount] = {}
-        self._waiting: dict[RequestId, Waiting] = {}
+        self._waiting = WaitingRequests()
         self._asks: dict[int, Ask] = {}
-        self._reports: dict[str, list[LeaseReport]] = {}
+        self._returns = LeaseReturns(ownership)
         self._checks_leases = False
         self._checks_waiting = False
         self._stopping = False
 
     def acquire(
-        self, request_id: RequestId, account: AccountId, at: float
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        at: float,
+        patience_s: float,
     ) -> list[Output]:
         """Grant a token, deny it, or let the request wait for an answer."""
         known = self.configuration and self.configuration.accounts.get(account)
@@ -97,7 +93,7 @@
             reason = RefusalReason.rate_exceeded
             return [_deny(request_id, reason, at, wait_s)]
         cached.waiting.append(request_id)
-        self._waiting[request_id] = Waiting(account, group, at + MOST_WAIT_S)
+        self._waiting.add(request_id, account, group, at, patience_s)
         return [
             *self._ask(account, cached, group, at),
             *self._set_wait_timer(at),
@@ -106,17 +102,19 @@
 
     def cancel(self, request_id: RequestId) -> None:
         """Forget a request that waits; a token granted before is used."""
-        waiting = self._waiting.pop(request_id, None)
+        waiting = self._waiting.pop(request_id)
         if waiting is not None:
             self._accounts[waiting.account].waiting.remove(request_id)
 
     def take_tokens(self, given: TokensGiven, at: float) -> list[Output]:
         """Serve waiting requests with the tokens of an answer."""
+        self._waiting.answered_at = at
         ask = self._asks.get(given.number)
         if ask is None or given.run != self.run:
             return []
         cached = self._forget_ask(ask)
-        self._spare.note_left(ask.account, given.left)
+        if given.verdict == Verdict.rate:
+            self._spare.note_left(ask.account, given.left)
         if at < ask.until and given.count:
             lease = Lease(
                 ask.number, given.count, ask.until, is_block=ask.ahead > 0
@@ -133,18 +131,15 @@
 
     def follow_leader(self, group: str, at: float) -> list[Output]:
         """Ask a new leader for what is still missing."""
+        self._waiting.answered_at = at
         outputs: list[Output] = []
         for ask in self._asks.values():
             if ask.group == group:
                 outputs.extend(self._send_ask(ask))
-        accounts = {
-            waiting.account
-            for waiting in self._waiting.values()
-            if waiting.group == group
-        }
-        for account in sorted(accounts):
-            cached = self._accounts[account]
-            outputs.extend(self._ask(account, cached, group, at))
+        for account, waits_for in sorted(self._waiting.map_groups().items()):
+            if waits_for == group:
+                cached = self._accounts[account]
+                outputs.extend(self._ask(account, cached, group, at))
         return outputs
 
     def check_waiting(self, at: float) -> list[Output]:
@@ -158,12 +153,9 @@
                 ask.resent = True
                 outputs.extend(self._send_ask(ask))
                 outputs.extend(self._ownership.ask_leader(ask.group, at))
-        for request_id, waiting in tuple(self._waiting.items()):
-            # The next check would be too late.
-            if at + _WAIT_CHECK_S <= waiting.until:
-                break
-            self.cancel(request_id)
-            outputs.append(self._end_wait(request_id, waiting.account, at))
+        for request_id, waiting in self._waiting.list_all():
+            outputs.extend(self._check_request(request_id, waiting, at))
+        outputs.extend(self._ask_again(at))
         return [*outputs, *self._set_wait_timer(at)]
 
     def check_leases(self, at: float) -> list[Output]:
@@ -175,16 +167,16 @@
             if cached.disposable(at):
                 self._accounts.pop(account)
                 self._spare.forget(account)
-        return [*self._send_reports(), *self._set_lease_timer(at)]
+        return [*self._returns.send(self.run), *self._set_lease_timer(at)]
 
     def return_all(self) -> list[Output]:
         """Return all unused tokens before the process stops."""
         self._stopping = True
         for account, cached in self._accounts.items():
             for lease in cached.leases:
-                self._report(account, self._group_of(account), lease)
+                self._returns.note(account, self._group_of(account), lease)
             cached.leases.clear()
-        return self._send_reports()
+        return self._returns.send(self.run)
 
     def drop_leases(self) -> None:
         """Drop all tokens and asks, as their leases may be over.
@@ -200,11 +192,34 @@
         """Return the number of accounts in memory."""
         return len(self._accounts)
 
+    def _check_request(
+        self, request_id: RequestId, waiting: Waiting, at: float
+    ) -> list[Output]:
+        """Try a spare token at its time, and end the waiting at its end."""
+        # The next check would be too late.
+        soon = at + _WAIT_CHECK_S
+        if soon > waiting.spare_at and self._take_spare(request_id, at):
+            return [TokenGranted(at, request_id)]
+        if soon <= waiting.until:
+            return []
+        self.cancel(request_id)
+        return [_deny_unreachable(request_id, at)]
+
+    def _ask_again(self, at: float) -> list[Output]:
+        """Ask for the requests that no ask covers any longer."""
+        outputs: list[Output] = []
+        for account, group in self._waiting.map_groups().items():
+            cached = self._accounts[account]
+            if at >= cached.ask_again_at:
+                cached.ask_again_at = at + _ASK_AGAIN_S
+                outputs.extend(self._ask(account, cached, group, at))
+        return outputs
+
     def _ask(
         self, account: str, cached: CachedAccount, group: str, at: float
     ) -> list[Output]:
         needed = max(0, len(cached.waiting) - cached.asked)
-        ahead = self._count_ahead(cached, at)
+        ahead = 0 if self._stopping else cached.count_ahead(at)
         if not (needed or ahead):
             return []
         leader = self._ownership.leader_of_group(group)
@@ -218,20 +233,22 @@
         cached.asks_ahead += bool(ahead)
         return [*self._send_ask(ask), *self._set_wait_timer(at)]
 
-    def _count_ahead(self, cached: CachedAccount, at: float) -> int:
-        block = cached.block_at(at)
-        if self._stopping or cached.asks_ahead or at < cached.denied_until:
-            return 0
-        return block if cached.count_left(at) * 2 <= block else 0
-
     def _send_ask(self, ask: Ask) -> list[Output]:
         leader = self._ownership.leader_of_group(ask.group)
         if leader is None:
             return []
         message = TokensAsked(
-            ask.account, self.run, ask.number, ask.needed, ask.ahead
+            ask.account,
+            self.run,
+            ask.number,
+            ask.needed,
+            ask.ahead,
+            self._spare.left_of(ask.account),
         )
-        return [SendMessage(leader, message), *self._send_reports(leader)]
+        return [
+            SendMessage(leader, message),
+            *self._returns.send(self.run, leader),
+        ]
 
     def _forget_ask(self, ask: Ask) -> CachedAccount:
         self._asks.pop(ask.number)
@@ -265,56 +282,49 @@
     def _deny_uncovered(
         self, cached: CachedAccount, given: TokensGiven, at: float
     ) -> list[Output]:
-        """Deny the waiting requests that no other ask covers."""
-        reason = RefusalReason.limit_owner_unreachable
-        wait_s: float | None = given.wait_s
-        if given.verdict == Verdict.rate:
-            reason = RefusalReason.rate_exceeded
-            remembered_s = min(given.wait_s, _MOST_DENIED_S)
-            cached.denied_until = at + max(0, remembered_s)
-        if given.wait_s < 0:
-            wait_s = None
-        away = given.verdict == Verdict.not_ready
+        """Deny the waiting requests that no other ask covers.
+
+        While the owner isn't ready, or lacks the account because it has an
+        older configuration, they go on waiting for it.
+        """
+        if given.verdict != Verdict.rate:
+            cached.ask_again_at = at + _ASK_AGAIN_S
+            return self._try_spare(cached, at)
+        reason = RefusalReason.rate_exceeded
+        remembered_s = min(given.wait_s, _MOST_DENIED_S)
+        cached.denied_until = at + max(0, remembered_s)
+        wait_s = None if given.wait_s < 0 else given.wait_s
         outputs: list[Output] = []
         while len(cached.waiting) > cached.asked:
             request_id = cached.waiting.pop(0)
-            account = self._waiting.pop(request_id).account
-            output = _deny(request_id, reason, at, wait_s)
-            if away and self._spare.take(self.configuration, account, at):
-                output = TokenGranted(at, request_id)
-            outputs.append(output)
+            self._waiting.pop(request_id)
+            outputs.append(_deny(request_id, reason, at, wait_s))
         return outputs
 
-    def _end_wait(
-        self, request_id: RequestId, account: str, at: float
-    ) -> Output:
-        if self._spare.take(self.configuration, account, at):
-            return TokenGranted(at, request_id)
-        return _deny_unreachable(request_id, at)
+    def _try_spare(self, cached: CachedAccount, at: float) -> list[Output]:
+        """Let the uncovered requests try to do without the owner, once."""
+        outputs: list[Output] = []
+        uncovered = len(cached.waiting) - cached.asked
+        for request_id in cached.waiting[: max(0, uncovered)]:
+            if self._take_spare(request_id, at):
+                outputs.append(TokenGranted(at, request_id))
+        return outputs
+
+    def _take_spare(self, request_id: RequestId, at: float) -> bool:
+        """Serve a waiting request without the owner, if that is possible."""
+        account = self._waiting.account_of(request_id)
+        if not self._waiting.take_spare_try(request_id):
+            return False
+        if not self._spare.take(self.configuration, account, at):
+            return False
+        self.cancel(request_id)
+        return True
 
     def _close_leases(self, account: str, group: str, at: float) -> None:
         for lease in self._accounts[account].close_leases(at):
             # A used single token expires soon enough without a message.
             if lease.left or lease.is_block:
-                self._report(account, group, lease)
-
-    def _report(self, account: str, group: str, lease: Lease) -> None:
-        """Keep the report for the next message to the owner."""
-        reports = self._reports.setdefault(group, [])
-        reports.append(LeaseReport(account, lease.number, lease.left))
-
-    def _send_reports(self, leader: VmId | None = None) -> list[Output]:
-        """Send the reports for one leader, or for all of them."""
-        outputs: list[Output] = []
-        for group in tuple(self._reports):
-            to = self._ownership.leader_of_group(group)
-            if leader is not None and to != leader:
-                continue
-            reports = tuple(self._reports.pop(group))
-            if to is not None:
-                message = TokensReported(self.run, reports)
-                outputs.append(SendMessage(to, message))
-        return outputs
+                self._returns.note(account, group, lease)
 
     def _group_of(self, account: str) -> str:
         if self.configuration is None:
--- a/src/cranberryseam/limits/messages.py
+++ b/src/cranberryseam/limits/messages.py
@@ -22,6 +22,9 @@
     ahead
         Further tokens for requests that are expected; if not 0, the lease is
         a block lease.
+    left
+        Whole tokens that the owner had left when it answered last; negative
+        if the sender doesn't know. Tells the next owner how much was used.
 
     """
 
@@ -30,6 +33,7 @@
     number: int
     needed: int
     ahead: int
+    left: int = -1
 
 
 class TokensGiven(Message, frozen=True, array_like=True, tag=_TAG + 2):
--- a/src/cranberryseam/limits/owner.py
+++ b/src/cranberryseam/limits/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,12 @@
 # A new leader waits for the leases of the one before.
 _HANDOVER_S = BLOCK_LEASE_S * OWNER_MARGIN
 _LAG_S = 1.0
+# An owner whose buckets open this soon after the start of its process.
+_FRESH_S = 3.0
+# A bucket of which nobody knows what was left opens empty, and what waited for
+# it comes at once. An account that uses 60% of its rate has caught up after
+# this; until then a missing token doesn't mean that it is beyond its rate.
+_RECOVERY_S = 2.0
 
 
 class Verdict(IntEnum):
@@ -44,6 +51,10 @@
         since then.
     early
         Buckets for the time before, within the tolerance of the limits.
+    least_left
+        Least tokens that the leader before had left, as VMs tell.
+    given_early
+        Tokens given before the table opened.
 
     """
 
@@ -52,6 +63,22 @@
     swept_at: float
     buckets: dict[str, Bucket] = attrs.field(factory=dict)
     early: dict[str, Bucket] = attrs.field(factory=dict)
+    least_left: dict[str, int] = attrs.field(factory=dict)
+    given_early: Counter[str] = attrs.field(factory=Counter)
+
+    def note_early(self, asked: TokensAsked, given: int) -> None:
+        """Note what a VM knows of the bucket before, and what it got."""
+        account = asked.account
+        self.given_early[account] += given
+        if asked.left >= 0:
+            known = self.least_left.setdefault(account, asked.left)
+            self.least_left[account] = min(known, asked.left)
+
+    def find_left(self, account: str) -> int:
+        """Return what is left of the bucket before; 0 if nobody knows."""
+        if account not in self.least_left:
+            return 0
+        return max(0, self.least_left[account] - self.given_early[account])
 
 
 class BucketOwner:
@@ -63,6 +90,7 @@
         self._regions = settings.region_names
         self._ownership = ownership
         self._tolerance = settings.limits
+        self.started_at: float = 0
         self._tables: dict[str, BucketTable] = {}
         self._configuration: Configuration | None = None
         nothing = Configuration()
@@ -79,17 +107,24 @@
         self._change_now(asked.account)
         limit = self._find_limit(asked.account, self._configuration)
         if limit is None:
+            # One of the two VMs has an older configuration than the other.
             return [_refuse(sender, asked, Verdict.account_unknown, _LAG_S)]
         if at < table.opens_at:
             return [self._answer_early(table, limit, sender, asked, at)]
         bucket = _find_bucket(table, asked.account, limit, at)
         bucket.settle(at)
         count = _lease(bucket, sender, asked, at)
+        verdict = Verdict.rate
+        if (
+            at < table.opens_at + _RECOVERY_S
+            and asked.account not in table.least_left
+        ):
+            verdict = Verdict.not_ready
         given = TokensGiven(
             asked.run,
             asked.number,
             count,
-            int(Verdict.rate),
+            int(verdict),
             bucket.count_wait_s(at),
             max(0, int(bucket.level)),
         )
@@ -176,18 +211,28 @@
         """Give single tokens within the tolerance of the limit."""
         bucket = table.early.get(asked.account)
         if bucket is None:
-            bucket = self._open_early(limit, at)
+            bucket = self._open_early(table, limit, at)
             table.early[asked.account] = bucket
         bucket.settle(at)
         count = bucket.take(asked.needed, 0)
+        if self._tolerance.early_share:
+            table.note_early(asked, count)
         wait_s = table.opens_at - at
         verdict = int(Verdict.not_ready)
         given = TokensGiven(asked.run, asked.number, count, verdict, wait_s)
         return SendMessage(sender, given)
 
-    def _open_early(self, limit: Limit, at: float) -> Bucket:
+    def _open_early(
+        self, table: BucketTable, limit: Limit, at: float
+    ) -> Bucket:
         tolerance = self._tolerance
-        rate = limit.rate * tolerance.early_share
+        share = tolerance.early_share
+        if share and table.opens_at - self.started_at < _FRESH_S:
+            # It leads so soon after its start because all VMs have restarted,
+            # and then no lease of the leader before is left. If it is wrong,
+            # the other half is within the tolerance, too.
+            share = 1
+        rate = limit.rate * share
         tokens = min(tolerance.early_tokens, limit.burst)
         early = Limit(rate, max(tokens, rate))
         return Bucket(early, tokens, at)
@@ -254,7 +299,7 @@
     bucket = table.buckets.get(account)
     if bucket is None:
         filled = limit.rate * max(0, at - table.opens_at)
-        level = min(limit.burst, filled)
+        level = min(limit.burst, filled + table.find_left(account))
         bucket = Bucket(limit, level, max(at, table.opens_at))
         table.buckets[account] = bucket
     return bucket
--- a/src/cranberryseam/limits/part.py
+++ b/src/cranberryseam/limits/part.py
@@ -65,6 +65,7 @@
             case Started(wall_s=wall_s):
                 run = int(wall_s * _MICROSECONDS) << _RANDOM_BITS
                 self._client.run = run + self._rng.getrandbits(_RANDOM_BITS)
+                self._owner.started_at = at
                 return [SetTimer(PART, _SWEEP_TIMER, at + _SWEEP_S)]
             case ConfigurationChanged(configuration=configuration):
                 self._client.configuration = configuration
@@ -83,17 +84,28 @@
         return []
 
     def acquire(
-        self, request_id: RequestId, account: AccountId, at: float
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        at: float,
+        patience_s: float = 0,
     ) -> list[Output]:
         """Get one token of an account's rate for a request.
 
+        Parameters
+        ----------
+        patience_s
+            Seconds that the request may wait while the owner changes.
+
         Returns
         -------
-        ``TokenGranted`` or ``TokenDenied``, now or within 250 ms, and
-        effects.
+        ``TokenGranted`` or ``TokenDenied``, now or within 250 ms or the
+        patience, and effects.
 
         """
-        return self._settle(self._client.acquire(request_id, account, at), at)
+        return self._settle(
+            self._client.acquire(request_id, account, at, patience_s), at
+        )
 
     def cancel(self, request_id: RequestId, at: float) -> list[Output]:
         """Forget a request that no longer waits for a token."""
--- a/src/cranberryseam/limits/spare.py
+++ b/src/cranberryseam/limits/spare.py
@@ -96,6 +96,10 @@
         """Take over how many tokens the owner has left for an account."""
         self._left[account] = left
 
+    def left_of(self, account: str) -> int:
+        """Return how many tokens the owner had left, -1 if unknown."""
+        return self._left.get(account, -1)
+
     def note_use(self, account: str, at: float) -> None:
         """Count a token of the owner that was used here."""
         self._uses.setdefault(account, _Use(0, at, at)).add(at)
--- a/src/cranberryseam/requests/admission.py
+++ b/src/cranberryseam/requests/admission.py
@@ -25,7 +25,7 @@
 
 
 def admit_request(
-    configuration: Configuration, keys: Keys, event: RequestArrived
+    configuration: Configuration, keys: Keys, event: RequestArrived, at: float
 ) -> Result[RequestState, Refusal]:
     """Return the state of a new request, or why it is refused.
 
@@ -37,32 +37,36 @@
         The key table.
     event
         The request.
+    at
+        Time of the decision, at or after the arrival.
 
     """
     head = event.head
     route = configuration.find_route(head.method, head.path, head.host)
     if route is not None and route.public:
-        return _admit_public(route, event)
+        return _admit_public(route, event, at)
     if route is None and configuration.document is not None:
         return _refuse(RefusalReason.route_unknown)
     if not head.key_hashes:
         return _refuse(RefusalReason.key_missing)
     if len(head.key_hashes) > 1:
         return _refuse(RefusalReason.key_ambiguous)
-    account = keys.check(head.key_hashes[0], event.at)
+    account = keys.check(head.key_hashes[0], at)
     if account.is_error():
         return Error(account.error)
-    return _admit_account(configuration, route, account.ok, event)
+    state = _admit_account(configuration, route, account.ok, event)
+    return state.bind(lambda admitted: _check_deadline(admitted, at))
 
 
 def _admit_public(
-    route: Route, event: RequestArrived
+    route: Route, event: RequestArrived, at: float
 ) -> Result[RequestState, Refusal]:
     if event.head.idempotency_key and not route.repeats(event.head.method):
         # Without an account there is no owner for the claim; running it
         # anyway would break the promise that the key stands for.
         return _refuse(RefusalReason.idempotency_key_invalid)
-    return _check_deadline(_build_state(route, PUBLIC_ACCOUNT, 1, event))
+    state = _build_state(route, PUBLIC_ACCOUNT, 1, event)
+    return _check_deadline(state, at)
 
 
 def _admit_account(
@@ -82,7 +86,7 @@
     state = _build_state(route, name, plan.weight, event)
     state.rank = route.rank if plan.rank is None else plan.rank
     state.is_limited = plan.rate > 0
-    return _check_deadline(state)
+    return Ok(state)
 
 
 def _build_state(
@@ -110,8 +114,10 @@
     )
 
 
-def _check_deadline(state: RequestState) -> Result[RequestState, Refusal]:
-    if state.deadline_at <= state.arrived_at:
+def _check_deadline(
+    state: RequestState, at: float
+) -> Result[RequestState, Refusal]:
+    if state.deadline_at <= at:
         return _refuse(RefusalReason.deadline_too_short)
     return Ok(state)
 
--- a/src/cranberryseam/requests/collaborators.py
+++ b/src/cranberryseam/requests/collaborators.py
@@ -19,9 +19,13 @@
     """Decides whether an account is within its rate."""
 
     def acquire(
-        self, request_id: RequestId, account: AccountId, at: float
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        at: float,
+        patience_s: float,
     ) -> Sequence[Output]:
-        """Ask for one token."""
+        """Ask for one token, to be had within a patience if need be."""
 
     def cancel(self, request_id: RequestId, at: float) -> Sequence[Output]:
         """Forget a request that waits for a token."""
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -21,6 +21,7 @@
     doubt_refusal,
     render_refusal,
 )
+from .holding import Holding
 from .lines import describe_early_refusal
 from .state import RequestState, Stage
 
@@ -32,7 +33,11 @@
 # A VM without a configuration gets one as soon as a control leader is there;
 # if all VMs have just started, that takes about this long.
 NOT_READY_RETRY_S: Final = 0.5
+# Part of the time left that a request may wait for the owner of its limit; the
+# rest is for the work.
+_LIMIT_PATIENCE_SHARE: Final = 0.5
 _STREAM_TIMER: Final = 'streams'
+_HOLD_TIMER: Final = 'held'
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 # With these the claim owner has looked and found no other copy that ran.
 _DECIDED_BY_OWNER: Final = frozenset(
@@ -63,6 +68,7 @@
         self._endings = Endings(collaborators)
         self._attempts = Attempts(self._endings, PART)
         self._configuration = Configuration()
+        self._holding = Holding()
         self._draining = False
         self._steps: dict[type, Callable[[Any], _Outputs]] = {
             ev.Started: self._start,
@@ -86,7 +92,7 @@
     @property
     def in_progress(self) -> int:
         """Number of requests that have not ended."""
-        return len(self._endings.states)
+        return len(self._endings.states) + len(self._holding)
 
     def refuse_new(self) -> None:
         """Refuse requests from now on because the VM drains."""
@@ -102,13 +108,30 @@
 
     def _configure(self, notice: nt.ConfigurationChanged) -> _Outputs:
         self._configuration = notice.configuration
-        return []
+        if not len(self._holding):
+            return []
+        # Later, since the other notices of the same reply bring the targets
+        # and the proof that keys need.
+        return [fx.SetTimer(PART, _HOLD_TIMER, notice.at)]
 
     def _admit(self, event: ev.RequestArrived) -> _Outputs:
         refusal = self._find_vm_refusal()
-        if refusal is not None:
-            return _refuse_arrival(event, refusal)
-        admitted = admit_request(self._configuration, self._with.keys, event)
+        if refusal is None:
+            return self._admit_at(event, event.at)
+        if refusal.reason is RefusalReason.not_ready:
+            held_until = self._holding.hold(event)
+            if held_until is not None:
+                return [
+                    fx.IncrementCounter('requests.held'),
+                    *self._set_hold_timer(),
+                ]
+        return _refuse_arrival(event, refusal)
+
+    def _admit_at(self, event: ev.RequestArrived, at: float) -> _Outputs:
+        """Admit a request, which may have arrived some time ago."""
+        admitted = admit_request(
+            self._configuration, self._with.keys, event, at
+        )
         if admitted.is_error():
             return _refuse_arrival(event, admitted.error)
         state = admitted.ok
@@ -116,13 +139,40 @@
         if state.route.split:
             state.service = self._draw_service(state.route.split)
         if state.account == PUBLIC_ACCOUNT or not state.is_limited:
-            return self._attempts.queue_for_slot(state, event.at)
+            return self._attempts.queue_for_slot(state, at)
+        patience_s = (state.deadline_at - at) * _LIMIT_PATIENCE_SHARE
         return list(
             self._with.limiter.acquire(
-                state.request_id, state.account, event.at
+                state.request_id, state.account, at, patience_s
             )
         )
 
+    def _end_holding(self, at: float) -> _Outputs:
+        """Admit the held requests, or refuse those that waited too long."""
+        refusal = self._find_vm_refusal()
+        if refusal is None:
+            return [
+                output
+                for event in self._holding.take_all()
+                for output in self._admit_at(event, at)
+            ]
+        if refusal.reason is RefusalReason.not_ready:
+            ended = self._holding.take_expired(at)
+        else:
+            ended = self._holding.take_all()
+        refused = [
+            output
+            for event in ended
+            for output in _refuse_arrival(event, refusal)
+        ]
+        return [*refused, *self._set_hold_timer()]
+
+    def _set_hold_timer(self) -> _Outputs:
+        next_end = self._holding.find_next_end()
+        if next_end is None:
+            return []
+        return [fx.SetTimer(PART, _HOLD_TIMER, next_end)]
+
     def _draw_service(self, split: tuple[tuple[str, int], ...]) -> ServiceName:
         names = [name for name, _ in split]
         weights = [weight for _, weight in split]
@@ -191,10 +241,12 @@
         ]
 
     def _leave(self, event: ev.CallerLeft) -> _Outputs:
+        counter = count_refusal(RefusalReason.caller_left)
+        if self._holding.cancel(event.request_id):
+            return [counter]
         state = self._endings.states.get(event.request_id)
         if state is None:
             return []
-        counter = count_refusal(RefusalReason.caller_left)
         if state.stage is Stage.answer and state.claimed:
             # The outcome of claimed work is needed by the next copy of it.
             state.caller_left = True
@@ -204,6 +256,8 @@
     def _fire(self, event: ev.TimerFired) -> _Outputs:
         if event.name == _STREAM_TIMER:
             return self._check_streams(event)
+        if event.name == _HOLD_TIMER:
+            return self._end_holding(event.at)
         return self._attempts.fire(event.name, event.at)
 
     def _check_streams(self, event: ev.TimerFired) -> _Outputs:
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -27,6 +27,9 @@
 # One dispatch in this many asks the long lane first, so that it isn't starved.
 _LONG_TURN = 4
 _LEAST_RETRY_AFTER_S = 0.1
+# Of the services that callers use, one of many targets announces itself
+# within this.
+_FIRST_TARGET_S = 0.5
 
 
 class Admission:
@@ -60,6 +63,13 @@
             return [_deny(at, request, reason, wait_s)]
         return self._enqueue(state, Waiting(request, start_by), at)
 
+    def wait(
+        self, state: ServiceState, request: AdmitRequest, at: float
+    ) -> list[Output]:
+        """Queue a request until a first target announces itself."""
+        until = min(request.deadline_at, at + _FIRST_TARGET_S)
+        return self._enqueue(state, Waiting(request, until), at)
+
     def assign_other(
         self, state: ServiceState, request: AdmitRequest, at: float
     ) -> SlotAssigned | None:
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -118,6 +118,9 @@
         Share of a target's slots from which on the leader tells its load.
     regions
         Regions of the fleet, each with about the same load.
+    announced_s
+        So long after its first configuration a VM may not have heard of
+        targets that are there; 0 if it hears of all at once.
     ejects, suspects
         False switches the leader's ejections, or the preferences of each VM
         on its own evidence, off; for comparisons.
@@ -140,10 +143,14 @@
     beliefs: bool = False
     told_load: float = 0
     regions: int = 1
+    announced_s: float = 0
 
 
 # A target that was just started is slow for about this long.
 _SHORT_COLD_START_S = 3.0
+# Targets announce themselves about every 1.5 s. After a loss of power of all
+# VMs the control leader's table is empty until then.
+_ANNOUNCED_S = 1.5
 ATTACHED = Tuning(
     ejects=False,
     suspects=False,
@@ -152,6 +159,7 @@
     # plans don't fit, whatever the cause.
     told_load=1.0,
     grace_s=_SHORT_COLD_START_S,
+    announced_s=_ANNOUNCED_S,
 )
 
 __all__ = (
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -130,6 +130,7 @@
         self._services = ServiceTable(settings, self._tuning, self._sharing)
         self._idle = IdleConnections(settings.vm.region, ownership)
         self._decayed_at: float = 0
+        self._new_until: float = 0
 
     def handle(self, event: Event | Notice) -> list[Output]:
         """Apply one event or notice."""
@@ -170,6 +171,9 @@
         """
         state = self._services.find(request.service)
         if state is None or not any(state.near(at)):
+            if at < self._new_until:
+                state = self._services.find_or_add(request.service)
+                return self._admission.wait(state, request, at)
             reason = RefusalReason.no_target
             return [
                 SlotDenied(at, request.request_id, reason, _NO_TARGET_RETRY_S)
@@ -425,6 +429,8 @@
 
     def _configure(self, event: ConfigurationChanged) -> None:
         configuration = event.configuration
+        if not self._version:
+            self._new_until = event.at + self._tuning.announced_s
         self._version = configuration.version
         self._services.configure(configuration)
         self._leading.configure(configuration.services)
--- a/src/cranberryseam/routing/services.py
+++ b/src/cranberryseam/routing/services.py
@@ -56,6 +56,15 @@
         """Return the state of a service that has or had targets."""
         return self._states.get(service)
 
+    def find_or_add(self, service: ServiceName) -> ServiceState:
+        """Return the state of a service, creating it on first use."""
+        state = self._states.get(service)
+        if state is None:
+            state = ServiceState(service, self._tuning)
+            state.floor = self._floors.get(service, state.floor)
+            self._states[service] = state
+        return state
+
     def configure(self, configuration: Configuration) -> None:
         """Take over the floors."""
         self._floors = {
@@ -70,7 +79,7 @@
         self, announcement: Announcement, silent: bool, at: float
     ) -> ServiceState | None:
         """Take over what a target announced; None if it is nothing new."""
-        state = self._find_or_add(announcement.service)
+        state = self.find_or_add(announcement.service)
         target = state.targets.get(announcement.target)
         if target is not None and target.repeats(announcement, silent):
             return None
@@ -92,14 +101,6 @@
             state.touched.pop(announcement.target, None)
         return state
 
-    def _find_or_add(self, service: ServiceName) -> ServiceState:
-        state = self._states.get(service)
-        if state is None:
-            state = ServiceState(service, self._tuning)
-            state.floor = self._floors.get(service, state.floor)
-            self._states[service] = state
-        return state
-
     def _create_target(self, announcement: Announcement, at: float) -> Target:
         distance = _measure_distance(self._vm, self._places, announcement)
         target = Target(announcement, hash_name(announcement.target), distance)
--- a/tests/attachment/attached_fleet.py
+++ b/tests/attachment/attached_fleet.py
@@ -24,6 +24,7 @@
     Addresses,
     ControlSettings,
     KeySettings,
+    LimitSettings,
     Settings,
     VmSettings,
 )
@@ -37,6 +38,8 @@
 ENTRIES = ('e1', 'e2', 'e3')
 SEEDS = CONTROL[:3]
 FORMED_S = 4.0
+# What the users' platform tolerates.
+LIMITS = LimitSettings(early_share=0.5, early_tokens=4)
 _MS = 1000
 
 
@@ -53,6 +56,7 @@
             replicas=SEEDS, seeds=SEEDS, forms=forms, most_lost=2
         ),
         keys=KeySettings(freshness_s=4.5),
+        limits=LIMITS,
     )
 
 
--- a/tests/attachment/test_fleet.py
+++ b/tests/attachment/test_fleet.py
@@ -163,6 +163,30 @@
             self.assertIn(call.reason, {'keys_stale', 'key_unknown'})
 
 
+class PowerLossTest(TestCase):
+    """All VMs lose power, and callers come back with them."""
+
+    @parameterized.expand([(seed,) for seed in range(3)])
+    def test_first_requests_are_served(self, seed: int) -> None:
+        """Guards against refusals until the first configuration arrives."""
+        with run_fleet(seed) as fleet:
+            for name in (*CONTROL, *ENTRIES):
+                fleet.kill(name)
+            fleet.run(0.7)
+            for name in (*CONTROL, *ENTRIES):
+                fleet.restart(name)
+            calls = []
+            for number in range(8):
+                for control in CONTROL:
+                    again = make_announcement(sequence=number + 2)
+                    fleet.announce(control, again)
+                calls += [fleet.call(name, 'asha') for name in ENTRIES]
+                fleet.run(0.1)
+            fleet.run(2)
+            refused = [call.reason for call in calls if call.reason]
+            self.assertLessEqual(len(refused), len(calls) // 8, refused)
+
+
 class TargetTest(TestCase):
     """The table of targets follows announcements and the log."""
 
--- a/tests/limits/test_owner_change.py
+++ b/tests/limits/test_owner_change.py
@@ -15,11 +15,15 @@
     Settings,
     VmSettings,
 )
+from cranberryseam.core.effects import SendMessage
+from cranberryseam.core.notices import TokenDenied, TokenGranted
 from cranberryseam.limits.bucket import BLOCK_LEASE_S, OWNER_MARGIN
-from cranberryseam.limits.messages import TokensAsked
+from cranberryseam.limits.entry import TokenClient
+from cranberryseam.limits.messages import TokensAsked, TokensGiven
 from cranberryseam.limits.owner import BucketOwner, Verdict
 from cranberryseam.limits.spare import SpareTokens
-from cranberryseam.types import AccountId, VmId
+from cranberryseam.limits.waiting import HANDOVER_WAIT_S, MOST_WAIT_S
+from cranberryseam.types import AccountId, Output, RequestId, VmId
 
 VMS = 32
 RATE = 40.0
@@ -29,6 +33,7 @@
 SLACK = 20
 TOLERANCE = LimitSettings(early_share=0.5, early_tokens=4)
 SINCE = 100.0
+STEP_S = 0.05
 
 
 class _Owners:
@@ -65,8 +70,11 @@
 class EarlyTokensTest(TestCase):
     """A new owner that doesn't know the leases of the one before."""
 
-    def _ask(self, limits: LimitSettings, until_s: float) -> list[int]:
+    def _ask(
+        self, limits: LimitSettings, until_s: float, started_at: float = 0
+    ) -> list[int]:
         owner = BucketOwner(_settings(limits), _Owners())
+        owner.started_at = started_at
         configuration = _configure()
         owner.change_configuration(configuration, SINCE)
         owner.open_table('control', SINCE)
@@ -91,11 +99,17 @@
         given = self._ask(LimitSettings(), BLOCK_LEASE_S)
         self.assertEqual(0, sum(given))
 
-    def test_the_tolerance_is_kept(self) -> None:
+    def test_more_after_a_restart_of_all(self) -> None:
+        """Guards against a second of half the rate after a loss of power."""
+        given = self._ask(TOLERANCE, 1.0, SINCE - 0.5)
+        self.assertGreater(sum(given), RATE * 0.95)
+
+    @parameterized.expand([('long running', 0.0), ('restarted', SINCE - 0.5)])
+    def test_the_tolerance_is_kept(self, _: str, started_at: float) -> None:
         """Guards against more than the window allows beside old leases, which
         hold a burst at most.
         """
-        given = self._ask(TOLERANCE, WINDOW_S)
+        given = self._ask(TOLERANCE, WINDOW_S, started_at)
         allowed = (RATE * WINDOW_S + RATE) * (1 + OVERAGE) + SLACK
         self.assertLessEqual(sum(given) + RATE, allowed)
 
@@ -110,6 +124,65 @@
             answer.message.wait_s, BLOCK_LEASE_S * OWNER_MARGIN
         )
 
+    @parameterized.expand(
+        [
+            ('little used', 39, 20, 20),
+            ('at its limit', 0, 20, 0),
+            ('one VM knows better', 39, 20, 2, 2),
+            ('nobody knows', -1, 20, 0),
+        ]
+    )
+    def test_opening_level(
+        self, _: str, left: int, needed: int, least: int, other: int = -1
+    ) -> None:
+        """Guards against an account that loses its burst with its owner, and
+        against one at its limit that gets another burst.
+        """
+        owner = BucketOwner(_settings(TOLERANCE), _Owners())
+        owner.change_configuration(_configure(), SINCE)
+        owner.open_table('control', SINCE)
+        for number, known in enumerate((left, other), 1):
+            asked = TokensAsked('asha', 1, number, 0, 0, known)
+            owner.answer(VmId('e1'), asked, SINCE)
+        at = SINCE + BLOCK_LEASE_S * OWNER_MARGIN
+        asked = TokensAsked('asha', 1, 9, needed, 0)
+        (answer,) = owner.answer(VmId('e1'), asked, at)
+        self.assertEqual(least, answer.message.count)
+
+    def test_without_tolerance_nothing_is_left(self) -> None:
+        """Guards against reports that would break a strict limit."""
+        owner = BucketOwner(_settings(LimitSettings()), _Owners())
+        owner.change_configuration(_configure(), SINCE)
+        owner.open_table('control', SINCE)
+        owner.answer(VmId('e1'), TokensAsked('asha', 1, 1, 0, 0, 39), SINCE)
+        at = SINCE + BLOCK_LEASE_S * OWNER_MARGIN
+        (answer,) = owner.answer(
+            VmId('e1'), TokensAsked('asha', 1, 2, 9, 0), at
+        )
+        self.assertEqual(0, answer.message.count)
+
+    @parameterized.expand(
+        [
+            ('just opened', 0.5, Verdict.not_ready),
+            ('recovered', 4.0, Verdict.rate),
+        ]
+    )
+    def test_verdict_of_an_empty_bucket(
+        self, _: str, opened_s: float, verdict: Verdict
+    ) -> None:
+        """Guards against refusals as beyond the rate of what had to wait.
+
+        Buckets open empty while requests of more than a second wait for them.
+        """
+        owner = BucketOwner(_settings(TOLERANCE), _Owners())
+        owner.change_configuration(_configure(), SINCE)
+        owner.open_table('control', SINCE)
+        at = SINCE + BLOCK_LEASE_S * OWNER_MARGIN + opened_s
+        asked = TokensAsked('asha', 1, 1, 200, 0)
+        (answer,) = owner.answer(VmId('e1'), asked, at)
+        self.assertLess(answer.message.count, 200)
+        self.assertEqual(verdict, answer.message.verdict)
+
 
 class SpareTokensTest(TestCase):
     """VMs that can't reach any owner for a while."""
@@ -185,3 +258,105 @@
                 served += spare.take(configuration, 'asha', at)
         allowed = (RATE * WINDOW_S + RATE) * (1 + OVERAGE) + SLACK
         self.assertLessEqual(served, allowed)
+
+
+class _Changing:
+    """Owners whose leader the test sets."""
+
+    def __init__(self) -> None:
+        self.leader: VmId | None = VmId('c1')
+
+    def group_of(self, region: str, shard_key: str) -> str:
+        return 'control'
+
+    def leader_of_group(self, group: str) -> VmId | None:
+        return self.leader
+
+    def share_of_vm(self) -> float:
+        return 0
+
+    def ask_leader(self, group: str, at: float) -> list[Output]:
+        return []
+
+
+class WaitTest(TestCase):
+    """Requests that arrive while the owner is away and soon replaced."""
+
+    def _open(self) -> tuple[TokenClient, _Changing]:
+        owners = _Changing()
+        client = TokenClient(_settings(TOLERANCE), owners, random.Random(1))
+        client.configuration = _configure()
+        client.follow_leader('control', 100.0)
+        return client, owners
+
+    def _run(
+        self, client: TokenClient, since: float, until: float
+    ) -> list[tuple[float, type]]:
+        """Fire the timer of the waiting requests; return their ends."""
+        ends: list[tuple[float, type]] = []
+        for step in range(int((until - since) / STEP_S)):
+            at = since + (step + 1) * STEP_S
+            ends += [
+                (at, type(output))
+                for output in client.check_waiting(at)
+                if isinstance(output, (TokenGranted, TokenDenied))
+            ]
+        return ends
+
+    def test_served_by_the_next_owner(self) -> None:
+        """Guards against refusals of what the next owner grants in time."""
+        client, owners = self._open()
+        owners.leader = None
+        asha = AccountId('asha')
+        client.acquire(RequestId(1), asha, 101.0, patience_s=1.5)
+        self.assertEqual([], self._run(client, 101.0, 102.0))
+        owners.leader = VmId('c2')
+        sent = client.follow_leader('control', 102.0)
+        asks = [
+            output.message for output in sent if isinstance(output, SendMessage)
+        ]
+        given = TokensGiven(client.run, asks[-1].number, 1, Verdict.rate, 0, 9)
+        (granted,) = (
+            output
+            for output in client.take_tokens(given, 102.1)
+            if isinstance(output, TokenGranted)
+        )
+        self.assertEqual(RequestId(1), granted.request_id)
+
+    def test_asked_again_until_the_owner_is_ready(self) -> None:
+        """Guards against one early answer that ends the waiting."""
+        client, _ = self._open()
+        asha = AccountId('asha')
+        (ask, *_) = (
+            output.message
+            for output in client.acquire(RequestId(1), asha, 101.0, 1.5)
+            if isinstance(output, SendMessage)
+        )
+        early = TokensGiven(client.run, ask.number, 0, Verdict.not_ready, 1, 0)
+        self.assertEqual([], client.take_tokens(early, 101.06))
+        again = [
+            output
+            for step in range(4)
+            for output in client.check_waiting(101.1 + step * STEP_S)
+            if isinstance(output, SendMessage)
+        ]
+        self.assertGreaterEqual(len(again), 1)
+
+    @parameterized.expand(
+        [
+            ('impatient', 101.0, 0.5, 0.5),
+            ('patient', 101.0, 9.0, HANDOVER_WAIT_S),
+            ('owner long away', 110.0, 9.0, MOST_WAIT_S),
+        ]
+    )
+    def test_refused_in_time(
+        self, _: str, at: float, patience_s: float, waited_s: float
+    ) -> None:
+        """Guards against requests that wait for an owner behind a cut."""
+        client, owners = self._open()
+        owners.leader = None
+        client.acquire(RequestId(1), AccountId('asha'), at, patience_s)
+        ((ended_at, kind),) = self._run(client, at, at + 3)
+        self.assertIs(TokenDenied, kind)
+        self.assertLessEqual(ended_at - at, waited_s + STEP_S / 2)
+        self.assertGreaterEqual(ended_at - at, waited_s - 2 * STEP_S)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -69,6 +69,7 @@
     completed: list[tuple[RequestId, Ran]] = attrs.field(factory=list)
     released: list[AttemptOutcome] = attrs.field(factory=list)
     cancelled: list[RequestId] = attrs.field(factory=list)
+    admitted: list[AdmitRequest] = attrs.field(factory=list)
 
     def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
         """Accept one key until it is withdrawn."""
@@ -79,7 +80,11 @@
         return Ok(AccountId('asha'))
 
     def acquire(
-        self, request_id: RequestId, account: AccountId, at: float
+        self,
+        request_id: RequestId,
+        account: AccountId,
+        at: float,
+        patience_s: float,
     ) -> list[Output]:
         """Grant a token."""
         return [TokenGranted(at, request_id)]
@@ -110,6 +115,7 @@
 
     def admit(self, request: AdmitRequest, at: float) -> list[Output]:
         """Assign a slot of a target that was not tried."""
+        self.admitted.append(request)
         if self.delay_slots:
             return []
         target = TargetId(f't{len(request.excluded)}')
@@ -119,6 +125,7 @@
         self, request: AdmitRequest, at: float
     ) -> SlotAssigned | None:
         """Assign a slot of a target that was not tried."""
+        self.admitted.append(request)
         if self.delay_slots:
             return None
         (assigned,) = self.admit(request, at)
