--- a/src/cranberryseam/daemon/peers.py
+++ b/src/cranberryseam/daemon/peers.py
@@ -122,6 +122,11 @@
         self._sockets: OrderedDict[VmId, pynng.Push0] = OrderedDict()
         self._links: dict[VmId, Link] = {}
 
+    @property
+    def address(self) -> str:
+        """Address that other VMs connect to, with the port listened on."""
+        return str(self._listener.listeners[0].local_address)
+
     def execute(self, effect: Effect) -> bool:
         """Send a message or register a peer; return False for other effects."""
         if isinstance(effect, SendMessage):
@@ -231,7 +236,7 @@
     Parameters
     ----------
     address
-        ``ip:port`` to listen on.
+        ``ip:port`` to listen on; port 0 picks a free one.
 
     Raises
     ------
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 
 import attrs
@@ -23,11 +22,7 @@
 # A stalled connection is replaced after 1 s.
 RECONNECT_WAIT_S = 3.0
 HINT = LeaderHint('', ())
-
-
-def _find_address() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return f'127.0.0.1:{listener.getsockname()[1]}'
+ANY_PORT = '127.0.0.1:0'
 
 
 @attrs.define(eq=False)
@@ -45,10 +40,12 @@
     ) -> None:
         host, _, port = self.target.partition(':')
         other_reader, other_writer = await asyncio.open_connection(host, port)
-        await asyncio.gather(
-            self._copy(reader, other_writer, self.generation),
-            self._copy(other_reader, writer, self.generation),
-        )
+        # Writers that are finalised after the loop has closed raise.
+        with contextlib.closing(writer), contextlib.closing(other_writer):
+            await asyncio.gather(
+                self._copy(reader, other_writer, self.generation),
+                self._copy(other_reader, writer, self.generation),
+            )
 
     async def _copy(
         self,
@@ -83,16 +80,15 @@
 async def _run_pair() -> AsyncIterator[tuple[_Vm, _Vm, _Proxy]]:
     codec = build_codec()
     metrics = Metrics(StatsdSettings())
-    addresses = (_find_address(), _find_address())
-    proxy = _Proxy(addresses[1])
-    server = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
-    proxy_port = server.sockets[0].getsockname()[1]
     with (
-        open_peers(VmId('a'), addresses[0], codec, metrics) as first,
-        open_peers(VmId('b'), addresses[1], codec, metrics) as second,
+        open_peers(VmId('a'), ANY_PORT, codec, metrics) as first,
+        open_peers(VmId('b'), ANY_PORT, codec, metrics) as second,
     ):
+        proxy = _Proxy(second.address)
+        server = await asyncio.start_server(proxy.serve, '127.0.0.1', 0)
+        proxy_port = server.sockets[0].getsockname()[1]
         first.register(VmId('b'), f'127.0.0.1:{proxy_port}')
-        second.register(VmId('a'), addresses[0])
+        second.register(VmId('a'), first.address)
         one = _Vm(first, VmId('b'))
         other = _Vm(second, VmId('a'))
         clock = asyncio.get_running_loop().time
--- a/tests/daemon/test_reload.py
+++ b/tests/daemon/test_reload.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import socket
 
 import attrs
 from expression import Error, Ok, Result
@@ -23,19 +22,14 @@
 
 SEED = '127.0.0.1:1'
 OTHER_SEED = '127.0.0.1:2'
+ANY_PORT = '127.0.0.1:0'
 WAIT_S = 0.3
 
 
-def _find_address() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return f'127.0.0.1:{listener.getsockname()[1]}'
-
-
 def _build_settings() -> Settings:
-    name = _find_address()
     return Settings(
-        VmSettings(name, 'fleet', 'dc-1'),
-        Addresses(name, metrics=_find_address()),
+        VmSettings('vm-1', 'fleet', 'dc-1'),
+        Addresses(ANY_PORT, metrics=ANY_PORT),
         ('fleet',),
         control=ControlSettings(seeds=(SEED,)),
     )
--- /dev/null
+++ b/tests/environment/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the environment that ``make`` installs."""
