Compare the end of the batching interval as it was set

What callers saw: nothing; in a simulation the fleet stopped. Cause: the leader compared at - sent_at >= 1.0, but set its timer to sent_at + 1.0. With a rounding error the difference is below 1.0 at that time, so the timer was set again for the same time. A process repeats it until its clock has moved on; simulated time never does. Change: both places compute the same sum. No other timer in routing compares a difference with the interval it was set with.

--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -140,7 +140,7 @@
         self._broadcast_at = math.inf
         changed = self._take_changes(at)
         self._unsent.update(changed)
-        sends_all = at - self._all_sent_at >= _OTHER_REGION_INTERVAL_S
+        sends_all = at >= self._all_sent_at + _OTHER_REGION_INTERVAL_S
         outputs: list[Output] = []
         for vm, region in sorted(self._vms.items()):
             rows = (
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -174,6 +174,24 @@
             other_target.fleet_estimate.probability_at(timer.at), 0.2
         )
 
+    def test_batch_timer_is_not_set_for_the_same_time(self) -> None:
+        """Guards against a loop of timers: a rounding error made the end of the
+        interval appear to be in the future at its own time.
+        """
+        rng = random.Random(1)
+        for _ in range(1000):
+            leader, target = self._sharing()
+            leader.add_vm(VmId('far'), 'aru')
+            at = rng.uniform(1, 1000)
+            for evidence in (FAILURE, *[SUCCESS] * 6):
+                seen = HealthSeen('katalogi', target.name_hash, int(evidence))
+                leader.receive(seen, at)
+                outputs = leader.broadcast(at)
+                at += rng.uniform(0, 0.05)
+            (timer,) = outputs
+            (broadcast,) = leader.broadcast(timer.at)
+            self.assertIsInstance(broadcast, SendMessage)
+
     def test_healthy_targets_cost_no_messages(self) -> None:
         """Guards against one message per success of a healthy target."""
         sharing, target = self._sharing()
