Log targets that no VM uses while others of the service are used

The logs showed target and outcome of each attempt, but not for how long a target had no request of any VM. The leader of a service has the reports of all VMs once a second: it now writes a line when a ready target has been idle for 2 s and when it is used again, with the idle time and the pooled failure estimate, and counts them (routing.targets_idle). Estimates tell the hypotheses apart: like those of all others (independent draws), high (avoidance outlasts the fault), at the baseline (unknown targets avoided). At most two lines per target in 2 s.

--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -21,6 +21,7 @@
 from .ejections import Ejections
 from .evidence import Counts, TargetEvidence
 from .floor import measure_capacity
+from .idle_targets import IdleTargets
 from .messages import OutcomeReport, ServiceView
 from .model import Tuning
 from .target import hash_name
@@ -82,6 +83,7 @@
         self.floor = 1.0
         self.ejections = Ejections(tuning, rng)
         self.targets: dict[TargetId, TargetEvidence] = {}
+        self.idle = IdleTargets(service)
         self.decided_at = leading_since
         self._by_hash: dict[int, TargetEvidence] = {}
         self._tuning = tuning
@@ -124,11 +126,18 @@
             evidence = self._by_hash.get(row.target)
             if evidence is not None:
                 evidence.rows.append((vm, row))
+                self.idle.record_use(evidence.announcement.target, at)
 
     def forget_vm(self, vm: VmId) -> None:
         """Remove a VM that left."""
         self._reporters.pop(vm, None)
 
+    def ready_targets(self) -> frozenset[TargetId]:
+        """Return the targets that are ready for requests."""
+        return frozenset(
+            name for name, evidence in self.targets.items() if evidence.ready
+        )
+
     def reporters(self) -> list[VmId]:
         """Return the VMs that use the service, sorted by name."""
         return sorted(self._reporters)
--- a/src/cranberryseam/routing/health.py
+++ b/src/cranberryseam/routing/health.py
@@ -31,7 +31,7 @@
 _MIN_PROBABILITY: Final = 0.005
 _MAX_PROBABILITY: Final = 0.995
 # Estimates are sent in percent.
-_PERCENT: Final = 100
+PERCENT: Final = 100
 
 
 class Evidence(IntEnum):
@@ -105,11 +105,11 @@
     @property
     def percent(self) -> int:
         """The probability in percent, as sent to other VMs."""
-        return round(self.probability * _PERCENT)
+        return round(self.probability * PERCENT)
 
     def apply_percent(self, percent: int, at: float) -> None:
         """Replace the probability by one received in percent."""
-        self.replace(percent / _PERCENT, at)
+        self.replace(percent / PERCENT, at)
 
     def is_above_baseline(self, at: float) -> bool:
         """Return whether a success could change the selection of targets."""
@@ -117,6 +117,7 @@
 
 
 __all__ = (
+    'PERCENT',
     'Evidence',
     'FailureEstimate',
     'classify_evidence',
--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..core.effects import SendMessage, SetTimer
-from .health import Evidence, FailureEstimate
+from .health import PERCENT, Evidence, FailureEstimate
 from .leadership import shard_key
 from .messages import HealthSeen, HealthTold
 from .model import COMPONENT, LeaderLookup
@@ -160,6 +160,12 @@
             )
         return outputs
 
+    def failure_percent(self, target: int, at: float) -> int:
+        """Return the pooled failure probability of a target, by its hash."""
+        pooled = self._pooled.get(target)
+        estimate = FailureEstimate() if pooled is None else pooled.estimate
+        return round(estimate.probability_at(at) * PERCENT)
+
     def apply(self, message: HealthTold, at: float) -> None:
         """Apply the estimates of the leader."""
         for key, percent in message.rows:
--- a/src/cranberryseam/routing/leadership.py
+++ b/src/cranberryseam/routing/leadership.py
@@ -12,6 +12,7 @@
 from ..core.events import Announcement, TargetState
 from ..types import ServiceName
 from .evidence_pool import Decision, EvidencePool
+from .idle_targets import EstimateLookup
 from .messages import OutcomeReport, ServiceView
 from .model import COMPONENT, LeaderLookup, Tuning
 
@@ -101,14 +102,23 @@
         pool.receive(sender, report, at)
         return pool.view_for(sender, self._region), self._set_timer(at)
 
-    def decide(self, at: float) -> list[Output]:
-        """Decide on ejections of all led services; called by the timer."""
+    def decide(self, at: float, estimates: EstimateLookup) -> list[Output]:
+        """Decide on ejections of all led services; called by the timer.
+
+        Parameters
+        ----------
+        estimates
+            Lookup of failure estimates, for the log.
+
+        """
         self._timer_set = False
         outputs: list[Output] = []
         for name in tuple(self.pools):
             pool = self.pools[name]
             if self.leads(name, at):
                 outputs.extend(self._decide_one(pool, at))
+                ready = pool.ready_targets()
+                outputs.extend(pool.idle.update(ready, at, estimates))
             else:
                 self.pools.pop(name)
         return [*outputs, *self._set_timer(at)]
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -347,7 +347,8 @@
         if name == BROADCAST:
             return self._deliver_local(self._health.broadcast(at), at)
         if name == DECIDE:
-            return self._deliver_local(self._leadership.decide(at), at)
+            decided = self._leadership.decide(at, self._health.failure_percent)
+            return self._deliver_local(decided, at)
         kind, _, service = name.partition(':')
         state = self._services.find(service)
         if state is None:
