--- a/src/cranberryseam/experiments/policy_scenarios.py
+++ b/src/cranberryseam/experiments/policy_scenarios.py
@@ -30,6 +30,10 @@
         Number of entry VMs in the fleet.
     targets_per_data_centre
         Targets of one service in each of the six data centres.
+    attached
+        Whether the VMs are attached to a control leader, which leads all
+        services; then they form one region for the leaders, and the regions
+        are places.
 
     """
 
@@ -40,6 +44,7 @@
     vms: int = 44
     targets_per_data_centre: int = 2
     region_delay_s: float = 0.03
+    attached: bool = False
 
 
 _KILIMO = Deployment(
--- a/src/cranberryseam/experiments/policy_vms.py
+++ b/src/cranberryseam/experiments/policy_vms.py
@@ -16,6 +16,8 @@
 from ..core.events import MessageReceived, Started, TimerFired
 from ..core.notices import (
     ConfigurationChanged,
+    MemberChanged,
+    MemberStatus,
     SlotAssigned,
     SlotDenied,
     TargetChanged,
@@ -31,6 +33,8 @@
     from .policy_scenarios import Deployment
 
 SERVICE = 'work'
+# Region of all VMs that are attached to a control leader.
+FLEET_REGION = 'fleet'
 FLOOR = 0.5
 _CODEC = Codec(MESSAGES)
 
@@ -112,12 +116,9 @@
         leaders: dict[str, VmId] = {}
         for name, region, _ in places:
             leaders.setdefault(region, name)
+            leaders.setdefault(FLEET_REGION, name)
         for name, region, data_centre in places:
-            settings = Settings(
-                VmSettings(name, region, data_centre),
-                Addresses('192.0.2.1:1'),
-                deployment.regions,
-            )
+            settings = _build_settings(deployment, name, region, data_centre)
             router = factory(
                 settings,
                 FirstVmLeader(name, leaders),
@@ -158,6 +159,16 @@
             self.execute(vm, vm.router.handle(Started(0, 0)))
             notice = ConfigurationChanged(0, configuration)
             self.execute(vm, vm.router.handle(notice))
+            if self.deployment.attached:
+                self._add_members(vm)
+
+    def _add_members(self, vm: Vm) -> None:
+        """Tell a VM about all VMs, which get its broadcasts."""
+        for other in self.vms.values():
+            notice = MemberChanged(
+                0, other.name, other.region, MemberStatus.alive
+            )
+            self.execute(vm, vm.router.handle(notice))
 
     def _set_timer(self, vm: Vm, effect: SetTimer) -> None:
         number = vm.timers.get(effect.name, 0) + 1
@@ -186,6 +197,25 @@
         self.clock.call_at(self.clock.now + delay_s, deliver)
 
 
+def _build_settings(
+    deployment: Deployment, name: VmId, region: str, data_centre: str
+) -> Settings:
+    addresses = Addresses('192.0.2.1:1')
+    if not deployment.attached:
+        vm = VmSettings(name, region, data_centre)
+        return Settings(vm, addresses, deployment.regions)
+    return Settings(
+        VmSettings(name, FLEET_REGION, data_centre),
+        addresses,
+        (FLEET_REGION,),
+        places=tuple(
+            (f'{place}{number}', place)
+            for place in deployment.regions
+            for number in (1, 2)
+        ),
+    )
+
+
 def _place_vms(deployment: Deployment) -> list[tuple[VmId, str, str]]:
     places = []
     for number in range(deployment.vms):
@@ -200,4 +230,4 @@
     """Ignore the notice, until ``on_slot`` is set."""
 
 
-__all__ = ('FLOOR', 'SERVICE', 'Clock', 'Fleet', 'Vm')
+__all__ = ('FLEET_REGION', 'FLOOR', 'SERVICE', 'Clock', 'Fleet', 'Vm')
