Send requests to targets that no VM has used for a while

What callers saw: FLOOR on the grown sites: less than 0.7 of the sound targets of a service got requests, while more than a tenth of its requests failed.

Cause: a failure estimate changes much only with outcomes, and the load plan gives a target with a high estimate no requests, so there are none. Without them the estimate falls by 0.168/s, from 0.91 after one failure; expected failures cost more than the level of the plan for about 13 s. All VMs share the estimate, so one failure took a target out of use for this time, also beyond the floor of the service. Class: a judgement that stops the evidence that could change it.

Ruled out: independent draws alone.

Change: the leader of a service has the reports of all VMs. Its views name up to eight targets without a report for 0.7 s and the share of all requests that brings two per second to each. A VM sends this share of its requests to the idle targets of its region, unless their failure probability exceeds 0.7. With it a target is tried again about 2 s after a single failure.

Why it works: each idle target gets requests at a rate that doesn't depend on its estimate, and their outcomes correct the estimate of all VMs.

Searched elsewhere: ejections already end by trials; limits and start rates after shedding keep at least one request; per-VM suspicion decays and is off for attached VMs.

--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -126,7 +126,9 @@
             evidence = self._by_hash.get(row.target)
             if evidence is not None:
                 evidence.rows.append((vm, row))
-                self.idle.record_use(evidence.announcement.target, at)
+                name = evidence.announcement.target
+                attempts = row.succeeded + row.failed + row.shed
+                self.idle.record_use(name, attempts, at)
 
     def forget_vm(self, vm: VmId) -> None:
         """Remove a VM that left."""
@@ -142,7 +144,7 @@
         """Return the VMs that use the service, sorted by name."""
         return sorted(self._reporters)
 
-    def view_for(self, vm: VmId, region: str) -> ServiceView:
+    def view_for(self, vm: VmId, region: str, at: float) -> ServiceView:
         """Return the view that answers the newest report of a VM."""
         self._sequence += 1
         return ServiceView(
@@ -160,6 +162,8 @@
                 * evidence.announcement.slots
             ),
             round(self._measure_demand() * _HUNDREDTHS),
+            self.idle.list_idle(at),
+            self.idle.permille,
         )
 
     def decide(self, at: float) -> Decision:
--- a/src/cranberryseam/routing/idle_targets.py
+++ b/src/cranberryseam/routing/idle_targets.py
@@ -18,6 +18,14 @@
 
 # Shorter pauses occur by chance even if all targets have the same share.
 MIN_IDLE_S: Final = 2.0
+# Reports arrive up to a second after a request.
+_OFFERED_AFTER_S: Final = 0.7
+# Requests that an idle target gets until the VMs learn that it isn't idle.
+_OFFERED_RATE_PER_S: Final = 2.0
+# Bounds the size of a view.
+_MAX_OFFERED: Final = 8
+_RATE_SMOOTHING: Final = 0.3
+_PERMILLE: Final = 1000
 _DECIMALS: Final = 1
 
 # Returns the failure probability (percent) of a target, by its hash.
@@ -48,12 +56,16 @@
     """
 
     service: ServiceName
+    _rate_per_s: float = 0
+    _attempts: int = 0
+    _updated_at: float = 0
     _uses: dict[TargetId, _Use] = attrs.field(factory=dict)
     _ended: list[_Period] = attrs.field(factory=list)
     _service_used_at: float = float('-inf')
 
-    def record_use(self, target: TargetId, at: float) -> None:
-        """Record that a VM has used a target."""
+    def record_use(self, target: TargetId, attempts: int, at: float) -> None:
+        """Record that a VM uses a target and how many attempts have ended."""
+        self._attempts += attempts
         use = self._uses.setdefault(target, _Use(at))
         if use.logged:
             self._ended.append(_Period(target, at - use.used_at))
@@ -71,6 +83,7 @@
             Targets that are ready for requests.
 
         """
+        self._update_rate(at)
         for name in self._uses.keys() - ready:
             self._uses.pop(name)
         outputs: list[Output] = [
@@ -83,6 +96,30 @@
             outputs.append(IncrementCounter('routing.targets_idle'))
         return outputs
 
+    def list_idle(self, at: float) -> tuple[int, ...]:
+        """Return hashes of the targets to use soon, the longest idle first."""
+        idle = sorted(
+            (use.used_at, name)
+            for name, use in self._uses.items()
+            if at - use.used_at >= _OFFERED_AFTER_S
+        )
+        return tuple(hash_name(name) for _, name in idle[:_MAX_OFFERED])
+
+    @property
+    def permille(self) -> int:
+        """Share of all requests that each idle target should get."""
+        if self._rate_per_s <= _OFFERED_RATE_PER_S:
+            return _PERMILLE
+        return round(_PERMILLE * _OFFERED_RATE_PER_S / self._rate_per_s)
+
+    def _update_rate(self, at: float) -> None:
+        elapsed_s = at - self._updated_at
+        if elapsed_s > 0:
+            rate = self._attempts / elapsed_s
+            self._rate_per_s += _RATE_SMOOTHING * (rate - self._rate_per_s)
+            self._attempts = 0
+            self._updated_at = at
+
     def _find_idle(self, ready: Set[TargetId], at: float) -> list[_Period]:
         """Return the targets that have been idle long enough to be logged."""
         found = []
--- a/src/cranberryseam/routing/leadership.py
+++ b/src/cranberryseam/routing/leadership.py
@@ -100,7 +100,7 @@
         if pool is None:
             return None, []
         pool.receive(sender, report, at)
-        return pool.view_for(sender, self._region), self._set_timer(at)
+        return pool.view_for(sender, self._region, at), self._set_timer(at)
 
     def decide(self, at: float, estimates: EstimateLookup) -> list[Output]:
         """Decide on ejections of all led services; called by the timer.
@@ -186,13 +186,15 @@
         outputs: list[Output] = []
         if decision.changed:
             outputs.extend(_log_decision(pool, decision))
-            outputs.extend(self._announce(pool, pool.reporters()))
+            outputs.extend(self._announce(pool, pool.reporters(), at))
         return outputs
 
     def _announce(
-        self, pool: EvidencePool, vms: Iterable[VmId]
+        self, pool: EvidencePool, vms: Iterable[VmId], at: float
     ) -> list[Output]:
-        return [SendMessage(vm, pool.view_for(vm, self._region)) for vm in vms]
+        return [
+            SendMessage(vm, pool.view_for(vm, self._region, at)) for vm in vms
+        ]
 
     def _set_floor(self, pool: EvidencePool) -> None:
         service = self._services.get(pool.service)
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -93,6 +93,10 @@
         Pairs of target hash and mean slots in use by all VMs (hundredths).
     demand
         Sum of the slots in use at all targets (hundredths).
+    idle
+        Hashes of ready targets without recent requests of any VM.
+    idle_permille
+        Share of all requests that each of these targets should get.
 
     """
 
@@ -103,6 +107,8 @@
     ejected: tuple[EjectedRow, ...]
     loads: tuple[tuple[int, int], ...]
     demand: int = 0
+    idle: tuple[int, ...] = ()
+    idle_permille: int = 0
 
 
 class HealthSeen(Message, frozen=True, array_like=True, tag=602):  # noqa: WPS432 (tag)
--- a/src/cranberryseam/routing/reporting.py
+++ b/src/cranberryseam/routing/reporting.py
@@ -20,6 +20,9 @@
 
 
 _HUNDREDTHS = 100
+_PERMILLE = 1000
+# A VM that uses a service gets a view each second.
+_IDLE_VALIDITY_S = 1.5
 
 
 @attrs.frozen
@@ -96,10 +99,13 @@
         return False
     state.invalidate()
     state.demand = view.demand / _HUNDREDTHS
+    state.idle_share = view.idle_permille / _PERMILLE
     loads = dict(view.loads)
     for target in state.targets.values():
         if target.announcement.region == view.region:
             target.update_other_load(loads.get(target.name_hash, 0))
+            idle = target.name_hash in view.idle
+            target.idle_until = at + _IDLE_VALIDITY_S if idle else at
     return True
 
 
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -36,6 +36,11 @@
 _CONNECT_COST = 0.1
 # Demand of one region in slots until the leader reports more.
 _MIN_DEMAND = 1.0
+# A target that is more likely to fail than this gets no request only because
+# it is idle.
+_MAX_IDLE_FAILURE_PROBABILITY = 0.7
+# Share of the requests of a VM that may go to idle targets.
+_MAX_IDLE_SHARE = 0.5
 
 
 class Selection:
@@ -85,7 +90,14 @@
         return best
 
     def _choose_by_plan(self) -> Target | None:
-        """Draw a target with the weights of the load plan."""
+        """Draw a target with the weights of the load plan.
+
+        Idle targets come first with their own share: an estimate changes only
+        with outcomes, so a target avoided after a failure would stay unused.
+        """
+        idle = self._choose_idle()
+        if idle is not None:
+            return idle
         targets = [target for group in self._eligible for target in group]
         candidates = [self._describe_candidate(target) for target in targets]
         parts = self._state.tuning.regions
@@ -100,6 +112,29 @@
         self._rng.shuffle(usable)
         return min(usable, key=self._total_cost, default=None)
 
+    def _choose_idle(self) -> Target | None:
+        """Return a target of the region without requests of any VM."""
+        idle = [
+            target
+            for group in self._eligible[:_OTHER_REGION]
+            for target in group
+            if self._is_idle(target) and self._may_use(target)
+        ]
+        # The VMs of a region send the requests to its targets.
+        share = self._state.idle_share * self._state.tuning.regions
+        chance = min(_MAX_IDLE_SHARE, share * len(idle))
+        if not idle or self._rng.random() >= chance:
+            return None
+        target = self._rng.choice(idle)
+        target.idle_until = self._at
+        return target
+
+    def _is_idle(self, target: Target) -> bool:
+        if self._at >= target.idle_until:
+            return False
+        chance = target.failure_probability(self._at)
+        return chance <= _MAX_IDLE_FAILURE_PROBABILITY
+
     def _describe_candidate(self, target: Target) -> Candidate:
         slots = target.announcement.slots * self._ramp(target)
         if target.distance == _OTHER_REGION:
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -52,6 +52,8 @@
         self.floor = _DEFAULT_FLOOR
         # Slots in use by all VMs at all targets, as reported by the leader.
         self.demand: float = 0
+        # Share of the requests of all VMs that each idle target should get.
+        self.idle_share: float = 0
         self.targets: dict[TargetId, Target] = {}
         self.unreported: dict[TargetId, Target] = {}
         self.views: dict[str, RegionView] = {}
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -91,6 +91,8 @@
         network path between them.
     connection_warm_until
         Time until which this VM probably has an idle connection to it.
+    idle_until
+        Time until which it is taken for a target that no VM uses.
 
     """
 
@@ -116,6 +118,7 @@
     fleet_estimate: FailureEstimate = attrs.field(factory=FailureEstimate)
     local_estimate: FailureEstimate = attrs.field(factory=FailureEstimate)
     connection_warm_until: float = float('-inf')
+    idle_until: float = float('-inf')
 
     @property
     def usable(self) -> bool:
