Close a connection on which a target has refused a request

What callers saw (report of another operator): a faulty target wrote an earlier refusal once more on a kept connection, so the next request was answered with "not run" although the target ran it, or it ran at a second target. On the platform the request id rules out other requests, but not a further attempt of the same one.

Cause: the pool reused a connection after a refusal. Class: what one exchange leaves on a connection is taken for the next exchange.

Change: a response that says that the request did not run isn't followed by another request on its connection. It costs one connection per refusal.

Searched elsewhere: a success sent twice (RepeatedAnswerTest) is refused on the platform by its request id.

Second report, a response head cut by the target: can't happen here. CutResponseTest cuts responses with a length, chunked and without length at each byte on both interfaces, and each is answered with 502.

--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -157,8 +157,7 @@
             return AttemptFailure.answer_invalid
         await read_buffered_part(response)
         if response.complete:
-            # A response that ends with its connection leaves none to reuse.
-            await self._release(reusable=response.delimited)
+            await self._release(reusable=response.keeps_connection)
         self._replace_timeout(response)
         self._report_response(response)
         if not self._forward_requested.done():
@@ -197,7 +196,7 @@
             await self._stream_remaining(response)
         request.resolve(RequestEnd.answered)
         self._report_end(whole=True)
-        await self._release(reusable=True)
+        await self._release(reusable=response.keeps_connection)
 
     async def _stream_remaining(self, response: TargetResponse) -> None:
         send = self._request.send
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -77,6 +77,15 @@
             for name, value in self.headers
         )
 
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether its connection may be used for another request.
+
+        A faulty target may send a refusal again. On the same connection it
+        would state that the next request did not run.
+        """
+        return self.delimited and not self.not_run
+
     @property
     def retry_after_s(self) -> float | None:
         """Value of ``Retry-After`` in seconds, None without a valid one."""
--- a/tests/serving/harness.py
+++ b/tests/serving/harness.py
@@ -32,6 +32,7 @@
 )
 from cranberryseam.core.refusals import Executed, Refusal, RefusalReason
 from cranberryseam.serving import Gateway, open_socket, serve_app
+from cranberryseam.serving.dialect import DEFAULT_DIALECT, Dialect
 from cranberryseam.types import AttemptId, TargetId
 
 WAIT_TIMEOUT_S = 5.0
@@ -141,7 +142,9 @@
 
 @contextlib.asynccontextmanager
 async def run_gateway(
-    reducer: ForwardingReducer | None = None, **requests: int | float
+    reducer: ForwardingReducer | None = None,
+    dialect: Dialect = DEFAULT_DIALECT,
+    **requests: int | float,
 ) -> AsyncIterator[GatewayFixture]:
     reducer = reducer or ForwardingReducer()
     counter_names: list[str] = []
@@ -150,6 +153,7 @@
         reducer.dispatch,
         time.monotonic,
         counter_names.append,
+        dialect,
     )
     reducer.execute = gateway.execute
     gateway.execute(SetReadiness(ready=True))
--- /dev/null
+++ b/tests/serving/test_faulty_targets.py
@@ -0,0 +1,249 @@
+"""Tests of targets whose responses violate the protocol.
+
+Each case runs with the project's own interface and with the platform's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+
+import attrs
+import testtools
+from adapter import DIALECT
+from parameterized import parameterized
+
+from cranberryseam.core.events import AnswerReady, AttemptFailed
+from cranberryseam.serving.dialect import DEFAULT_DIALECT, Dialect
+
+from .harness import (
+    ForwardingReducer,
+    GatewayFixture,
+    read_request,
+    respond_once,
+    run_gateway,
+    run_target,
+)
+
+
+@attrs.frozen
+class _Interface:
+    """Requests and responses of one interface.
+
+    Parameters
+    ----------
+    refusal_line
+        Header by which the target states that it didn't run a request.
+    response_lines
+        Headers of each response to the request.
+
+    """
+
+    name: str
+    dialect: Dialect
+    refusal_line: bytes
+    request_id: bytes = b''
+    response_lines: bytes = b''
+
+    def build_request(self) -> bytes:
+        """Return a request that must not be repeated."""
+        return (
+            b'POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+            b'%bContent-Length: 2\r\n\r\nhi' % self.request_id
+        )
+
+    def build_response(self, status: bytes, lines: bytes, body: bytes) -> bytes:
+        """Return a whole response."""
+        return b'HTTP/1.1 %b\r\n%b%bContent-Length: %d\r\n\r\n%b' % (
+            status,
+            self.response_lines,
+            lines,
+            len(body),
+            body,
+        )
+
+    @property
+    def answer(self) -> bytes:
+        """The response to a request that ran."""
+        return self.build_response(b'200 OK', b'', b'done')
+
+    @property
+    def refusal(self) -> bytes:
+        """The response to a request that didn't run."""
+        return self.build_response(b'503 Full', self.refusal_line, b'full')
+
+
+_INTERFACES = (
+    _Interface('own', DEFAULT_DIALECT, b'Cranberryseam-Not-Run: 1\r\n'),
+    _Interface(
+        'platform',
+        DIALECT,
+        b'Not-Executed: 1\r\n',
+        b'Request-Id: r1\r\n',
+        b'Request-Id: r1\r\nResponse-Seal: s\r\n',
+    ),
+)
+
+
+@attrs.define(eq=False)
+class _RepeatingTarget:
+    """Refuses the first request and repeats the refusal on its connection.
+
+    Parameters
+    ----------
+    at_once
+        Whether the refusal is repeated at once, or when the next request of
+        the connection has been read.
+
+    """
+
+    interface: _Interface
+    at_once: bool
+    received: int = 0
+    executed: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        refused = False
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await read_request(reader)
+                self.received += 1
+                if self.received == 1:
+                    refused = True
+                    copies = 2 if self.at_once else 1
+                    writer.write(self.interface.refusal * copies)
+                    continue
+                if refused and not self.at_once:
+                    writer.write(self.interface.refusal)
+                self.executed += 1
+                writer.write(self.interface.answer)
+        writer.close()
+
+
+class RepeatedRefusalTest(testtools.TestCase):
+    """A target writes an earlier refusal once more on a kept connection."""
+
+    @parameterized.expand(
+        [
+            (f'{interface.name}_{"at_once" if at_once else "later"}',)
+            + (interface, at_once)
+            for interface, at_once in itertools.product(
+                _INTERFACES, (True, False)
+            )
+        ]
+    )
+    def test_next_request(
+        self, _: str, interface: _Interface, at_once: bool
+    ) -> None:
+        """Guards against "not run" for a request that the target runs."""
+        target = _RepeatingTarget(interface, at_once)
+        reducer = ForwardingReducer()
+
+        async def scenario() -> list[bytes]:
+            async with (
+                run_target(target.serve) as reducer.port,
+                run_gateway(reducer, interface.dialect) as fixture,
+            ):
+                return [
+                    await fixture.send_raw(interface.build_request())
+                    for _ in range(2)
+                ]
+
+        first, second = asyncio.run(scenario())
+        self.assertTrue(first.startswith(b'HTTP/1.1 503'), first)
+        self.assertTrue(second.endswith(b'done'), second)
+        self.assertEqual(1, target.executed)
+        self.assertEqual(
+            [True, False],
+            [event.not_run for event in reducer.events_of(AnswerReady)],
+        )
+
+
+class RepeatedAnswerTest(testtools.TestCase):
+    """A target writes a whole response twice on a kept connection."""
+
+    @parameterized.expand([(each.name, each) for each in _INTERFACES])
+    def test_next_request(self, _: str, interface: _Interface) -> None:
+        """Guards against the answer of an earlier request for a later one."""
+        ids = (b'r1', b'r2')
+        answers = (
+            interface.build_response(b'200 OK', b'', request_id)
+            for request_id in ids
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError
+            ):
+                while True:
+                    await read_request(reader)
+                    writer.write(next(answers) * 2)
+            writer.close()
+
+        async def scenario() -> list[bytes]:
+            reducer = ForwardingReducer()
+            request = interface.build_request()
+            async with (
+                run_target(serve) as reducer.port,
+                run_gateway(reducer, interface.dialect) as fixture,
+            ):
+                return [
+                    await fixture.send_raw(request.replace(b'r1', request_id))
+                    for request_id in ids
+                ]
+
+        first, second = asyncio.run(scenario())
+        self.assertTrue(first.endswith(b'r1'), first)
+        self.assertFalse(second.endswith(b'r1'), second)
+
+
+class CutResponseTest(testtools.TestCase):
+    """A target closes its connection within a response."""
+
+    @parameterized.expand(
+        [
+            (f'{interface.name}_{framing}', interface, framing)
+            for interface, framing in itertools.product(
+                _INTERFACES, ('length', 'chunked', 'until_close')
+            )
+        ]
+    )
+    def test_every_prefix(
+        self, _: str, interface: _Interface, framing: str
+    ) -> None:
+        """Guards against a cut response that callers get framed as whole.
+
+        A response without a length is whole once its connection is closed, so
+        only its head is cut.
+        """
+        reducer = ForwardingReducer()
+        head = b'HTTP/1.1 200 OK\r\n%b' % interface.response_lines
+        answer = {
+            'length': interface.answer,
+            'chunked': head
+            + b'Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n',
+            'until_close': head + b'\r\n',
+        }[framing]
+
+        async def call(fixture: GatewayFixture, length: int) -> bytes:
+            async with run_target(respond_once(answer[:length])) as port:
+                reducer.port = port
+                return await fixture.send_raw(interface.build_request())
+
+        async def scenario() -> list[bytes]:
+            async with run_gateway(reducer, interface.dialect) as fixture:
+                return [
+                    await call(fixture, length) for length in range(len(answer))
+                ]
+
+        replies = asyncio.run(scenario())
+        self.assertEqual(
+            [], [reply for reply in replies if reply[9:12] != b'502']
+        )
+        self.assertEqual([], reducer.events_of(AnswerReady))
+        self.assertEqual(len(answer), len(reducer.events_of(AttemptFailed)))
