Answer the requests that a stopping process can't finish

What callers saw (report of another operator): in a planned stop, requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. Seen here on both interfaces: with work of 4 s and 3 s left, safe requests and orders were taken and ended without an answer; so did requests in progress at the limit.

Cause: the process admitted requests by the deadline of the caller only, and ended with StopProcess without ending its requests. Class: a component that ends without telling those that wait for it.

Change: after a stop request the end of the process is the latest deadline of new requests. One that doesn't leave time for the 95th percentile of the durations is refused with draining and a time to return, because another VM can serve it. At the limit each request gets an answer: draining if it did not run, outcome_unknown if it may have.

Searched elsewhere: requests queued at startup are refused by the same call; streams in progress are cut, since their head has been sent.

--- a/src/cranberryseam/core/drain.py
+++ b/src/cranberryseam/core/drain.py
@@ -25,9 +25,15 @@
     def in_progress(self) -> int:
         """Number of requests that have not completed."""
 
+    def limit_new(self, stop_at: float) -> None:
+        """Accept new requests only if they will end before the process."""
+
     def refuse_new(self) -> None:
         """Refuse all requests that arrive after this call."""
 
+    def refuse_all(self, at: float) -> Sequence[Output]:
+        """Refuse the requests in progress."""
+
 
 class Drain:
     """Stops the process when no request is in progress or at the drain limit.
@@ -62,15 +68,16 @@
             # A second stop request must not cut off requests that still drain.
             return []
         self._stop_at = at + self._settings.drain_limit_s
+        self._requests.limit_new(self._stop_at)
         grace_end = at + self._settings.drain_grace_s
         return [SetReadiness(False), SetTimer(COMPONENT, 'refuse', grace_end)]
 
-    def _check(self, event: TimerFired) -> list[Effect]:
+    def _check(self, event: TimerFired) -> list[Output]:
         self._requests.refuse_new()
         stop_at = self._stop_at or event.at
         if self._requests.in_progress and event.at < stop_at:
             return [SetTimer(COMPONENT, 'check', event.at + CHECK_INTERVAL_S)]
-        return [StopProcess()]
+        return [*self._requests.refuse_all(event.at), StopProcess()]
 
 
 __all__ = ('COMPONENT', 'Drain', 'RequestTracker')
--- a/src/cranberryseam/requests/attempt_builders.py
+++ b/src/cranberryseam/requests/attempt_builders.py
@@ -65,6 +65,7 @@
         attempt=attempt_number,
         rank=state.rank,
         objective_s=state.route.objective_s,
+        limited_by_stop=state.limited_by_stop,
     )
 
 
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Any, Final
@@ -43,6 +44,8 @@
 _NO_DUPLICATE_REASONS: Final = frozenset(
     (RefusalReason.claim_table_full, RefusalReason.idempotency_key_reused)
 )
+_DRAINING: Final = Refusal(RefusalReason.draining, retry_after_s=RETRY_AFTER_S)
+_STOPPED: Final = Refusal(RefusalReason.outcome_unknown, Executed.unknown)
 
 _Outputs = list[Output]
 
@@ -70,6 +73,7 @@
         self._configuration = Configuration()
         self._startup_queue = StartupQueue()
         self._draining = False
+        self._stop_at: float = math.inf
         self._handlers: dict[type, Callable[[Any], _Outputs]] = {
             ev.Started: self._start,
             ev.RequestArrived: self._admit,
@@ -94,10 +98,27 @@
         """Number of requests that have not completed."""
         return len(self._requests.states) + len(self._startup_queue)
 
+    def limit_new(self, stop_at: float) -> None:
+        """Accept new requests only if they will end before the process."""
+        self._stop_at = stop_at
+
     def refuse_new(self) -> None:
         """Refuse new requests because the VM is draining."""
         self._draining = True
 
+    def refuse_all(self, at: float) -> Sequence[Output]:
+        """Refuse the requests in progress, because the process ends."""
+        outputs: _Outputs = [
+            output
+            for event in self._startup_queue.take_all()
+            for output in _refuse_arrival(event, _DRAINING)
+        ]
+        for state in tuple(self._requests.states.values()):
+            may_have_run = state.may_have_run or state.stage is Stage.answer
+            refusal = _STOPPED if may_have_run else _DRAINING
+            outputs += self._requests.abort(state, refusal, at)
+        return outputs
+
     def handle(self, event: ev.Event | nt.Notice) -> Sequence[Output]:
         """Apply one event or notice; see ``Component``."""
         handler = self._handlers.get(type(event))
@@ -135,6 +156,9 @@
         if admitted.is_error():
             return _refuse_arrival(event, admitted.error)
         state = admitted.ok
+        if state.deadline_at > self._stop_at:
+            state.deadline_at = self._stop_at
+            state.limited_by_stop = True
         self._requests.states[state.request_id] = state
         if state.route.split:
             state.service = self._draw_service(state.route.split)
@@ -180,7 +204,7 @@
 
     def _find_vm_refusal(self) -> Refusal | None:
         if self._draining:
-            return Refusal(RefusalReason.draining, retry_after_s=RETRY_AFTER_S)
+            return _DRAINING
         if not self._configuration.version:
             reason = RefusalReason.not_ready
             return Refusal(reason, retry_after_s=NOT_READY_RETRY_S)
@@ -220,6 +244,10 @@
             return []
         executed = Executed.unknown if state.may_have_run else Executed.no
         refusal = Refusal(notice.reason, executed, notice.retry_after_s)
+        too_short = notice.reason is RefusalReason.deadline_too_short
+        if state.limited_by_stop and too_short and executed is Executed.no:
+            # Another VM has more time.
+            refusal = _DRAINING
         return self._requests.refuse(state, refusal, notice.at)
 
     def _refuse_claim(self, notice: nt.ClaimRefused) -> _Outputs:
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -86,6 +86,8 @@
         Attempts that did not reach a target.
     is_limited
         False if the plan of the account has no rate limit.
+    limited_by_stop
+        True if the deadline is the end of this process.
 
     """
 
@@ -112,6 +114,7 @@
     rank: int = 0
     targets_run: int = 0
     is_limited: bool = True
+    limited_by_stop: bool = False
     undelivered_attempts: int = 0
     arrived_at: float = 0
 
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -27,6 +27,9 @@
 # Every nth dispatch tries the long lane first to prevent its starvation.
 _LONG_LANE_INTERVAL = 4
 _MIN_RETRY_AFTER_S = 0.1
+_MEDIAN = 0.5
+# Other VMs can serve a request that might not end before this process.
+_STOP_QUANTILE = 0.95
 # Time within which at least one of the many targets of a service in use
 # announces itself.
 _FIRST_TARGET_WAIT_S = 0.5
@@ -49,8 +52,9 @@
     ) -> list[Output]:
         """Assign a slot to a request, queue it or refuse it."""
         lane = state.lane(request.lane)
-        median_s = lane.latency.quantile_s(at, 0.5) or 0
-        start_by = request.deadline_at - median_s
+        quantile = _STOP_QUANTILE if request.limited_by_stop else _MEDIAN
+        duration_s = lane.latency.quantile_s(at, quantile) or 0
+        start_by = request.deadline_at - duration_s
         if at > start_by or at >= request.deadline_at:
             return [_deny(at, request, RefusalReason.deadline_too_short)]
         if not len(lane.queue):
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -57,6 +57,9 @@
         1 for the first attempt.
     rank
         Urgency, 0 is the most urgent.
+    limited_by_stop
+        True if the deadline is the end of this process, after which the
+        request could not be answered.
     objective_s
         Latency objective of the route; 0 if there is none.
 
@@ -73,6 +76,7 @@
     attempt: int = 1
     rank: int = 0
     objective_s: float = 0
+    limited_by_stop: bool = False
 
 
 class LeaderLookup(Protocol):
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -104,10 +104,17 @@
 
     in_progress: int = 1
     refused: bool = False
+    stop_at: float = 0
+
+    def limit_new(self, stop_at: float) -> None:
+        self.stop_at = stop_at
 
     def refuse_new(self) -> None:
         self.refused = True
 
+    def refuse_all(self, at: float) -> list[Output]:
+        return [fx.IncrementCounter('refused')] * self.in_progress
+
 
 class DrainTest(testtools.TestCase):
     """Guards against a graceful shutdown that cuts off requests."""
@@ -137,4 +144,7 @@
 
     def test_stops_at_drain_limit(self) -> None:
         self.drain.handle(ev.StopRequested(0))
-        self.assertEqual(self._fire(10), [fx.StopProcess()])
+        self.assertEqual(self.requests.stop_at, 10)
+        self.assertEqual(
+            self._fire(10), [fx.IncrementCounter('refused'), fx.StopProcess()]
+        )
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -28,6 +28,8 @@
 from .harness import (
     GET,
     OK,
+    WAIT_TIMEOUT_S,
+    CancelAttempt,
     ForwardingReducer,
     read_request,
     respond_once,
@@ -424,6 +426,42 @@
         self.assertTrue(reply.endswith(b'ok'), reply)
         self.assertIn(b'connection: close', reply.lower())
 
+    def test_request_refused_at_the_end(self) -> None:
+        """Guards against a refusal that is lost because the process ends."""
+
+        async def never_respond(reader, writer) -> None:
+            await read_request(reader)
+            request_read.set()
+            await asyncio.sleep(WAIT_TIMEOUT_S)
+            writer.close()
+
+        async def scenario() -> bytes:
+            async with (
+                run_target(never_respond) as reducer.port,
+                run_gateway(reducer) as fixture,
+            ):
+                call = asyncio.create_task(
+                    fixture.send_raw(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+                )
+                await request_read.wait()
+                (arrived,) = reducer.events_of(RequestArrived)
+                refusal = Refusal(
+                    RefusalReason.outcome_unknown, Executed.unknown
+                )
+                for effect in (
+                    CancelAttempt(arrived.request_id, 1),
+                    RefuseRequest(arrived.request_id, refusal),
+                ):
+                    fixture.gateway.execute(effect)
+                fixture.stop.set()
+                return await call
+
+        request_read = asyncio.Event()
+        reducer = ForwardingReducer()
+        reply = asyncio.run(scenario())
+        self.assertTrue(reply.startswith(b'HTTP/1.1 502'), reply)
+        self.assertIn(b'"ran":"unknown"', reply)
+
     def test_idle_connection_is_told_to_close(self) -> None:
         async def scenario() -> bytes:
             async with (
