Send only retriable requests to idle targets where there are any

Cause: orders, which can't be repeated, were sent to targets that were likely to fail although most requests of the service can be; and VMs went on to send requests to an idle target for up to 1.5 s after its first outcome.

Change: with retriable requests in the last 10 s, only these go to idle targets, up to a failure probability of 0.9; services without them keep 0.7. A change of the estimate, which comes from an outcome, ends the offer.

--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -172,6 +172,8 @@
             target = self._targets.get(key)
             if target is not None:
                 target.fleet_estimate.apply_percent(percent, at)
+                # The change comes from the outcome of a request.
+                target.idle_until = at
 
     def _take_changes(self, at: float) -> dict[int, int]:
         changed = {}
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -36,9 +36,13 @@
 _CONNECT_COST = 0.1
 # Demand of one region in slots until the leader reports more.
 _MIN_DEMAND = 1.0
-# A target that is more likely to fail than this gets no request only because
-# it is idle.
-_MAX_IDLE_FAILURE_PROBABILITY = 0.7
+# A target that is more likely to fail than this gets no request only because it
+# is idle. A failure of a request that can't be repeated loses the answer.
+_MAX_RETRIABLE_FAILURE_PROBABILITY = 0.9
+_MAX_FINAL_FAILURE_PROBABILITY = 0.7
+# A service with retriable requests within this time sends only them to idle
+# targets.
+_RETRIABLE_MEMORY_S = 10.0
 # Share of the requests of a VM that may go to idle targets.
 _MAX_IDLE_SHARE = 0.5
 
@@ -73,6 +77,7 @@
         self._rng = rng
         self._eligible = state.eligible_targets(at)
         self._long = request.lane == LONG_LANE
+        self._may_repeat = request.retriable and request.attempt == 1
 
     def choose(self) -> Target | None:
         """Return a target with a free slot; None if the request must wait."""
@@ -95,6 +100,8 @@
         Idle targets come first with their own share: an estimate changes only
         with outcomes, so a target avoided after a failure would stay unused.
         """
+        if self._may_repeat:
+            self._state.retriable_at = self._at
         idle = self._choose_idle()
         if idle is not None:
             return idle
@@ -129,11 +136,19 @@
         target.idle_until = self._at
         return target
 
+    @property
+    def _max_idle_risk(self) -> float:
+        """Failure probability up to which an idle target gets this request."""
+        if self._may_repeat:
+            return _MAX_RETRIABLE_FAILURE_PROBABILITY
+        if self._at < self._state.retriable_at + _RETRIABLE_MEMORY_S:
+            return 0
+        return _MAX_FINAL_FAILURE_PROBABILITY
+
     def _is_idle(self, target: Target) -> bool:
         if self._at >= target.idle_until:
             return False
-        chance = target.failure_probability(self._at)
-        return chance <= _MAX_IDLE_FAILURE_PROBABILITY
+        return target.failure_probability(self._at) <= self._max_idle_risk
 
     def _describe_candidate(self, target: Target) -> Candidate:
         slots = target.announcement.slots * self._ramp(target)
@@ -148,9 +163,8 @@
     def _base_cost(self, target: Target) -> float:
         """Return the cost of distance, failure risk and a new connection."""
         # Most routes allow two attempts, so the second one is the last.
-        may_repeat = self._request.retriable and self._request.attempt == 1
         failure_cost = (
-            _RETRIABLE_FAILURE_COST if may_repeat else _FINAL_FAILURE_COST
+            _RETRIABLE_FAILURE_COST if self._may_repeat else _FINAL_FAILURE_COST
         )
         chance = target.failure_probability(self._at)
         cost = failure_cost * chance + _DISTANCE_COSTS[target.distance]
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -54,6 +54,8 @@
         self.demand: float = 0
         # Share of the requests of all VMs that each idle target should get.
         self.idle_share: float = 0
+        # Time of the last request that may be repeated.
+        self.retriable_at: float = -math.inf
         self.targets: dict[TargetId, Target] = {}
         self.unreported: dict[TargetId, Target] = {}
         self.views: dict[str, RegionView] = {}
