Test which requests a VM sends to idle targets

Guards the choice of requests (retriable first, limits of the failure probability), one request per view, and the end of an offer with the outcome of another VM.

--- a/tests/routing/test_idle_targets.py
+++ b/tests/routing/test_idle_targets.py
@@ -2,14 +2,45 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Iterator
+
 from parameterized import parameterized
 from testtools import TestCase
 
-from cranberryseam.core.effects import WriteLog
+from cranberryseam.configuration.settings import (
+    Addresses,
+    Settings,
+    VmSettings,
+)
+from cranberryseam.core.effects import SendMessage, WriteLog
+from cranberryseam.core.events import MessageReceived, Started, TimerFired
+from cranberryseam.core.notices import SlotAssigned, TargetChanged
+from cranberryseam.routing import (
+    ATTACHED_TUNING,
+    AdmitRequest,
+    AttemptOutcome,
+    Router,
+)
 from cranberryseam.routing.idle_targets import IdleTargets
+from cranberryseam.routing.messages import (
+    HealthTold,
+    OutcomeReport,
+    ServiceView,
+)
 from cranberryseam.routing.target import hash_name
-from cranberryseam.types import ServiceName, TargetId
-
+from cranberryseam.types import (
+    AccountId,
+    RequestId,
+    ServiceName,
+    TargetId,
+    VmId,
+)
+from tests.attachment.attached_fleet import make_announcement
+
+from .test_overdue import _OtherLeader
+
+LEADER = VmId('c1')
 READY = frozenset(map(TargetId, ('t1', 't2')))
 PERCENTS = {hash_name('t1'): 3, hash_name('t2'): 91}
 
@@ -88,3 +119,111 @@
         """Guards against a burst of requests at an idle target."""
         idle = self._run(rate, seconds=30)
         self.assertAlmostEqual(permille, idle.permille, delta=1)
+
+
+class SelectionTest(TestCase):
+    """A VM sends requests to the targets that the leader names as idle.
+
+    Pattern: all VMs avoid a target after one failure.
+    """
+
+    def _build(self) -> Router:
+        settings = Settings(
+            VmSettings('e1', 'fleet', 'dc-1'), Addresses(''), ('fleet',)
+        )
+        router = Router(
+            settings, _OtherLeader(), random.Random(1), ATTACHED_TUNING
+        )
+        router.handle(Started(0, 0))
+        for number in (1, 2):
+            announcement = make_announcement(f't{number}', port=number)
+            router.handle(TargetChanged(0, announcement))
+        return router
+
+    def _select(
+        self, router: Router, numbers: range, *, retriable: bool
+    ) -> Iterator[str]:
+        for number in numbers:
+            request = AdmitRequest(
+                RequestId(number),
+                ServiceName('katalogi'),
+                AccountId('asha'),
+                weight=1,
+                lane='interactive',
+                deadline_at=20,
+                retriable=retriable,
+            )
+            (assigned,) = router.admit(request, 1.5)
+            assert isinstance(assigned, SlotAssigned)
+            yield assigned.target
+            router.release(
+                RequestId(number), AttemptOutcome.cancelled, 1.5, 0.1
+            )
+
+    def _offer(self, router: Router, percent: int) -> None:
+        """Make ``t2`` an idle target with a failure probability."""
+        healthy = HealthTold(((hash_name('t1'), 1), (hash_name('t2'), percent)))
+        router.handle(MessageReceived(1.4, LEADER, healthy))
+        list(self._select(router, range(1, 2), retriable=False))
+        (report,) = [
+            output.message
+            for output in router.handle(TimerFired(1.45, 'routing', 'tick'))
+            if isinstance(output, SendMessage)
+            and isinstance(output.message, OutcomeReport)
+        ]
+        view = ServiceView(
+            report.service,
+            report.region,
+            sequence=1,
+            report_sent_at=report.sent_at,
+            ejected=(),
+            loads=(),
+            idle=(hash_name('t2'),),
+            idle_permille=1000,
+        )
+        router.handle(MessageReceived(1.5, LEADER, view))
+
+    @parameterized.expand(
+        [
+            ('retriable', True, 85, True),
+            ('retriable_and_failing', True, 97, False),
+            ('final', False, 65, True),
+            ('final_and_failing', False, 85, False),
+        ]
+    )
+    def test_idle_target(
+        self, _: str, retriable: bool, percent: int, used: bool
+    ) -> None:
+        """Guards against targets without requests, and against requests that
+        are lost at a target that is failing.
+        """
+        router = self._build()
+        self._offer(router, percent)
+        selected = list(
+            self._select(router, range(10, 20), retriable=retriable)
+        )
+        self.assertEqual(used, 't2' in selected)
+
+    def test_retriable_requests_go_first(self) -> None:
+        """Guards against lost orders at a target that reads could try."""
+        router = self._build()
+        self._offer(router, 65)
+        router._services.find('katalogi').retriable_at = 1.0
+        selected = list(self._select(router, range(10, 20), retriable=False))
+        self.assertNotIn('t2', selected)
+
+    def test_one_request_per_view(self) -> None:
+        """Guards against a burst of requests of one VM at an idle target."""
+        router = self._build()
+        self._offer(router, 85)
+        selected = list(self._select(router, range(10, 30), retriable=True))
+        self.assertEqual(1, selected.count('t2'))
+
+    def test_outcome_of_another_vm(self) -> None:
+        """Guards against further requests after the target has answered."""
+        router = self._build()
+        self._offer(router, 85)
+        outcome = HealthTold(((hash_name('t2'), 85),))
+        router.handle(MessageReceived(1.5, LEADER, outcome))
+        selected = list(self._select(router, range(10, 20), retriable=True))
+        self.assertNotIn('t2', selected)
