Leave answers that are being forwarded to the end of the server

Cause: refuse_all, added for requests that a stopping process can't finish, also cut answers that were being forwarded at the limit, which the server still delivers within requests.exit_s. Change: requests in the stage forwarding are left out. The stop tests pass.

--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -107,13 +107,18 @@
         self._draining = True
 
     def refuse_all(self, at: float) -> Sequence[Output]:
-        """Refuse the requests in progress, because the process ends."""
+        """Refuse the requests in progress, because the process ends.
+
+        Answers that are being forwarded may still end in time.
+        """
         outputs: _Outputs = [
             output
             for event in self._startup_queue.take_all()
             for output in _refuse_arrival(event, _DRAINING)
         ]
         for state in tuple(self._requests.states.values()):
+            if state.stage is Stage.forwarding:
+                continue
             may_have_run = state.may_have_run or state.stage is Stage.answer
             refusal = _STOPPED if may_have_run else _DRAINING
             outputs += self._requests.abort(state, refusal, at)
