--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -147,6 +147,8 @@
     def view_for(self, vm: VmId, region: str, at: float) -> ServiceView:
         """Return the view that answers the newest report of a VM."""
         self._sequence += 1
+        # Without shared estimates, single VMs avoid a target, not all of them.
+        shares_health = self._tuning.health_sharing_enabled
         return ServiceView(
             self.service,
             region,
@@ -162,8 +164,8 @@
                 * evidence.announcement.slots
             ),
             round(self._measure_demand() * _HUNDREDTHS),
-            self.idle.list_idle(at),
-            self.idle.permille,
+            self.idle.list_idle(at) if shares_health else (),
+            self.idle.permille if shares_health else 0,
         )
 
     def decide(self, at: float) -> Decision:
