Log the source of each request's token

Lines about a request name the outcome but not whether its token was leased by the owner of the limits or a fallback token of the VM. Counted as limits.token_lease and limits.token_fallback as well.

--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -136,11 +136,19 @@
     leader: VmId | None
 
 
+class TokenSource(Enum):
+    """Where the token of a request comes from."""
+
+    lease = 'lease'
+    fallback = 'fallback'
+
+
 @attrs.frozen
 class TokenGranted(Notice):
     """The request is within the rate limit of its account."""
 
     request_id: RequestId
+    source: TokenSource = TokenSource.lease
 
 
 @attrs.frozen
@@ -217,4 +225,5 @@
     'TargetChanged',
     'TokenDenied',
     'TokenGranted',
+    'TokenSource',
 )
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from ..core.effects import SendMessage, SetTimer
-from ..core.notices import TokenDenied, TokenGranted
+from ..core.effects import IncrementCounter, SendMessage, SetTimer
+from ..core.notices import TokenDenied, TokenGranted, TokenSource
 from ..core.refusals import RefusalReason
 from ..types import AccountId, RequestId
 from .bucket import BLOCK_LEASE_S, SINGLE_LEASE_S
@@ -97,9 +97,10 @@
         self._evict_idle_accounts(at)
         cached = self._accounts.setdefault(account, CachedAccount())
         cached.record_request(at)
-        if self._use_token(group, account, cached, at):
+        source = self._use_token(group, account, cached, at)
+        if source is not None:
             return [
-                TokenGranted(at, request_id),
+                *_grant(request_id, source, at),
                 *self._request_tokens(account, cached, group, at),
                 *self._set_lease_timer(at),
             ]
@@ -237,7 +238,7 @@
         if next_check_at > waiting.fallback_at and self._grant_fallback_token(
             request_id, at
         ):
-            return [TokenGranted(at, request_id)]
+            return _grant(request_id, TokenSource.fallback, at)
         if next_check_at <= waiting.expires_at:
             return []
         self.cancel(request_id)
@@ -307,24 +308,29 @@
 
     def _use_token(
         self, group: str, account: str, cached: CachedAccount, at: float
-    ) -> bool:
+    ) -> TokenSource | None:
         """Use a leased token, or a fallback one if no owner is known."""
         if cached.use_token(at):
             self._fallback.record_use(account, at)
-            return True
+            return TokenSource.lease
         if self._ownership.leader_of_group(group) is not None:
-            return False
-        return self._fallback.take(self.configuration, account, at)
+            return None
+        if self._fallback.take(self.configuration, account, at):
+            return TokenSource.fallback
+        return None
 
     def _serve_waiting(
         self, token_request: TokenRequest, cached: CachedAccount, at: float
     ) -> list[Output]:
         outputs: list[Output] = []
         group, account = token_request.group, token_request.account
-        while cached.waiting and self._use_token(group, account, cached, at):
+        while cached.waiting:
+            source = self._use_token(group, account, cached, at)
+            if source is None:
+                break
             request_id = cached.waiting.pop(0)
             self._waiting.pop(request_id)
-            outputs.append(TokenGranted(at, request_id))
+            outputs.extend(_grant(request_id, source, at))
         return outputs
 
     def _deny_uncovered(
@@ -355,7 +361,7 @@
         uncovered = len(cached.waiting) - cached.tokens_requested
         for request_id in cached.waiting[: max(0, uncovered)]:
             if self._grant_fallback_token(request_id, at):
-                outputs.append(TokenGranted(at, request_id))
+                outputs.extend(_grant(request_id, TokenSource.fallback, at))
         return outputs
 
     def _grant_fallback_token(self, request_id: RequestId, at: float) -> bool:
@@ -410,6 +416,15 @@
         return [SetTimer(COMPONENT, LEASE_TIMER, at + _LEASE_CHECK_S)]
 
 
+def _grant(
+    request_id: RequestId, source: TokenSource, at: float
+) -> list[Output]:
+    return [
+        TokenGranted(at, request_id, source),
+        IncrementCounter(f'limits.token_{source.value}'),
+    ]
+
+
 def _deny(
     request_id: RequestId,
     reason: RefusalReason,
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -219,6 +219,7 @@
         state = self._requests.find(notice.request_id, Stage.token)
         if state is None:
             return []
+        state.token_source = notice.source
         key = state.head.idempotency_key
         if key is None or state.retriable:
             return self._attempts.request_slot(state, notice.at)
--- a/src/cranberryseam/requests/log_lines.py
+++ b/src/cranberryseam/requests/log_lines.py
@@ -88,6 +88,7 @@
         'route': state.route.name,
         'service': state.service,
         'account': state.account,
+        'token': state.token_source.value if state.token_source else None,
         'age_ms': round((at - state.arrived_at) * _MS_PER_S, _MS_DECIMALS),
         'left_ms': round((state.deadline_at - at) * _MS_PER_S, _MS_DECIMALS),
         **details,
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -8,6 +8,7 @@
 
 from ..configuration.model import Route
 from ..core.events import RequestHead
+from ..core.notices import TokenSource
 from ..routing.model import AttemptOutcome
 from ..types import AccountId, AttemptId, RequestId, ServiceName, TargetId
 
@@ -82,6 +83,8 @@
         Attempts after which a target may have run the request.
     arrived_at
         Arrival time at this VM.
+    token_source
+        Source of its token; None before one is granted.
     undelivered_attempts
         Attempts that did not reach a target.
     is_limited
@@ -117,6 +120,7 @@
     limited_by_stop: bool = False
     undelivered_attempts: int = 0
     arrived_at: float = 0
+    token_source: TokenSource | None = None
 
     @property
     def target(self) -> TargetId | None:
