Reserve the shares of silent VMs in the limits of accounts

What callers saw: nothing themselves; a client account got more than its limit (QUOTA) when a part of the VMs was cut off from the control leader.

Cause: two parties spent one limit. A VM without an answer for 0.25 s used fallback tokens at the rate that the owner had granted it lately, and the owner went on granting the whole rate to the other VMs. Besides, the recent rates of all VMs together exceeded the limit after a burst, and each VM began with a second of its own rate.

Change: the owner assigns each VM that asks for tokens a share of the account's rate, at most the rate together, and subtracts the shares of VMs that are silent from what it grants. Polls carry the time of the last reply that arrived, so that a VM that gets no replies counts as silent as well. The VM uses its share only after the owner has begun to reserve it. A new owner starts with the shares that VMs report, and withholds those of the others until they have expired. A VM that turns silent also takes its part of the bucket's level. A fraction of a token is used up by the draw, so waiting requests may draw again.

--- a/src/cranberryseam/assembly.py
+++ b/src/cranberryseam/assembly.py
@@ -126,13 +126,14 @@
         settings, random_streams.derive('attachment')
     )
     replica = None
+    contacts = ownership.ContactLog()
     registrations: list[Registration] = []
     if stored is not None:
         replica = control.Replica(
             settings, stored, random_streams.derive('control')
         )
         attachment_server = attachment.AttachmentServer(
-            settings, replica, attachment_client
+            settings, replica, attachment_client, contacts
         )
         registrations += [
             _register_control(replica),
@@ -140,7 +141,9 @@
         ]
     owners = attachment.ControlOwners(attachment_client, replica)
     keys = KeyTable(settings)
-    limiter = limits.Limiter(settings, owners, random_streams.derive('limits'))
+    limiter = limits.Limiter(
+        settings, owners, random_streams.derive('limits'), contacts
+    )
     router = routing.Router(
         settings,
         owners,
--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -33,6 +33,7 @@
     RoundTripCompleted,
     TargetChanged,
 )
+from ..ownership import OwnerContact
 from ..types import Output, TargetId, VmId
 from .content import apply_content
 from .messages import Departure, LeaderHint, Poll, PollReply, TargetRow
@@ -71,6 +72,7 @@
         """Create a client that knows no leader."""
         self.leader: VmId | None = None
         self.vm_count = 0
+        self.last_contact = OwnerContact()
         self.rows: dict[TargetId, TargetRow] = {}
         self._vm = settings.vm_id
         self._region = settings.vm.region
@@ -85,6 +87,8 @@
         self._table_term = 0
         self._position = 0
         self._replied_at = float('-inf')
+        # Time of the latest reply, on the clock of the leader.
+        self._answered_at: float = 0
         self._polled_at: dict[str, float] = {}
         self._unconfirmed: dict[TargetId, float] = {}
 
@@ -155,6 +159,7 @@
             self._position,
             self._members_index,
             '' if vm == self.leader else self._data_centre,
+            self._answered_at,
         )
         return SendMessage(vm, poll)
 
@@ -173,7 +178,7 @@
     ) -> list[Output]:
         if reply.term < self._term:
             return []
-        self._term = reply.term
+        self._record_contact(reply, at)
         if reply.members:
             self._members = reply.members
             self._members_index = reply.members_index
@@ -198,6 +203,13 @@
             )
         return outputs
 
+    def _record_contact(self, reply: PollReply, at: float) -> None:
+        if reply.term != self._term:
+            self._term = reply.term
+            self._answered_at = 0
+        self._answered_at = max(self._answered_at, reply.answered_at)
+        self.last_contact = OwnerContact(reply.term, at)
+
     def _apply_vm_count(self, vms: int, at: float) -> list[Output]:
         if not vms or vms == self.vm_count:
             return []
--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -60,6 +60,9 @@
         Version of the sender's list of control replicas.
     data_centre
         Data centre of the sender; empty if the leader already knows it.
+    answered_at
+        Time of the latest reply that the sender has received in this term, on
+        the clock of the leader; 0 without one.
 
     """
 
@@ -69,6 +72,7 @@
     position: int
     members_index: int
     data_centre: str = ''
+    answered_at: float = 0
 
 
 class PollReply(Message, frozen=True, array_like=True, tag=_POLL_REPLY_TAG):
@@ -89,6 +93,8 @@
     departed
         Departures after the position of the poll. They also apply to targets
         that the receiver knows and that ``rows`` do not contain.
+    answered_at
+        Time of the reply on the clock of the leader.
 
     """
 
@@ -103,6 +109,7 @@
     is_full: bool = False
     content: ContentDelta | FullContent | None = None
     departed: tuple[Departure, ...] = ()
+    answered_at: float = 0
 
 
 class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
--- a/src/cranberryseam/attachment/owners.py
+++ b/src/cranberryseam/attachment/owners.py
@@ -5,6 +5,7 @@
 from typing import Final, Protocol
 
 from ..control.replica import LeaderStatus
+from ..ownership import OwnerContact
 from ..types import Output, VmId
 from .client import CONTROL_GROUP, AttachmentClient
 
@@ -87,6 +88,10 @@
         count = self._attachment.vm_count
         return 1 / count if count else 0
 
+    def last_contact(self) -> OwnerContact:
+        """Return the last contact of this VM with the leader."""
+        return self._attachment.last_contact
+
     def query_leader(self, group: str, at: float) -> list[Output]:
         """Do nothing: the attachment client searches for the leader itself."""
         return []
--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -33,6 +33,7 @@
     MemberStatus,
     Notice,
 )
+from ..ownership import ContactLog
 from ..types import Output, TargetId, VmId
 from .content import ContentHistory
 from .departures import Waiter
@@ -95,6 +96,8 @@
         The control replica of this VM.
     follower_table
         Table that this VM received as a follower.
+    contacts
+        Records the polls, for the owners of shared state on this VM.
 
     """
 
@@ -103,8 +106,10 @@
         settings: Settings,
         replica: ControlReplica,
         follower_table: FollowerTable,
+        contacts: ContactLog,
     ) -> None:
         """Create a server with an empty table."""
+        self._contacts = contacts
         self._vm = settings.vm_id
         self._regions_by_data_centre = dict(settings.places)
         self._replica = replica
@@ -150,6 +155,7 @@
         match message:
             case Poll() as poll:
                 reply = SendMessage(sender, self._answer_poll(poll, at))
+                self._record_contact(sender, poll, at)
                 return [*self._record_vm(sender, poll.data_centre, at), reply]
             case PassedAnnouncement(
                 reply_id=reply_id, announcement=announcement
@@ -181,6 +187,13 @@
         region = self._regions_by_data_centre.get(data_centre, '')
         return [MemberChanged(at, vm, region, MemberStatus.alive)]
 
+    def _record_contact(self, vm: VmId, poll: Poll, at: float) -> None:
+        if self._find_leader_status(at) is None:
+            return
+        in_term = poll.term == self._term and poll.answered_at
+        # A VM without a reply in this term holds nothing from this owner.
+        self._contacts.record(vm, at, poll.answered_at if in_term else at)
+
     def _remove_expired_vms(self, at: float) -> list[Output]:
         outputs: list[Output] = []
         for vm, polled_at in tuple(self._polled_at.items()):
@@ -203,6 +216,7 @@
 
     def _take_over(self, leader_status: LeaderStatus, at: float) -> None:
         self._term = leader_status.term
+        self._contacts.clear()
         departed = leader_status.configuration.departed
         self._table.restore(self._follower_table.rows, departed, at)
         fields = {
@@ -241,6 +255,7 @@
                 leader_status.configuration, poll.content_version
             ),
             departed=self._table.departures.list_after(after),
+            answered_at=at,
         )
 
     def _forward_announcement(self, event: TargetAnnounced) -> list[Output]:
--- a/src/cranberryseam/limits/bucket.py
+++ b/src/cranberryseam/limits/bucket.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ..ownership import ContactLog
+from .rate_shares import RateShares
 from .shares import Limit
 
 # Short, because a new owner waits for the previous owner's leases to expire.
@@ -29,20 +31,45 @@
     until: float
 
 
+@attrs.frozen
+class HeldElsewhere:
+    """Rate that VMs may use until a time without asking this owner."""
+
+    rate: float = 0
+    until: float = 0
+
+
 @attrs.define
 class Bucket:
     """Token bucket of one account in one region.
 
+    Parameters
+    ----------
+    contacts
+        Contacts with the VMs that hold shares of the rate.
+    shares
+        Shares that VMs use in place of the bucket while they are silent.
+    held_elsewhere
+        Part of the rate that VMs hold from an earlier owner.
+
+    Notes
+    -----
+
     The level plus the outstanding tokens never exceed the burst. At any time
     the fleet can use at most the outstanding tokens, the level and the tokens
     added later, so the uses in any interval of length t are at most
-    burst + rate * t, however late a leased token is used.
+    burst + rate * t, however late a leased token is used. What silent VMs may
+    use is not added.
+
     """
 
     limit: Limit
     level: float
     updated_at: float
     grants: tuple[Grant, ...] = ()
+    contacts: ContactLog = attrs.field(factory=ContactLog)
+    shares: RateShares = attrs.field(factory=RateShares)
+    held_elsewhere: HeldElsewhere = HeldElsewhere()
 
     @property
     def outstanding(self) -> int:
@@ -51,8 +78,9 @@
 
     @property
     def full(self) -> bool:
-        """Return whether no token is leased and the level equals the burst."""
-        return not self.grants and self.level >= self.limit.burst
+        """Return whether the level equals the burst and no VM holds a part."""
+        is_held = self.grants or self.shares
+        return not is_held and self.level >= self.limit.burst
 
     def advance(self, at: float) -> None:
         """Expire leases and refill the level up to a time."""
@@ -109,10 +137,31 @@
     def _refill(self, at: float) -> None:
         if at <= self.updated_at:
             return
-        added = self.limit.rate * (at - self.updated_at)
-        room = self.limit.burst - self.outstanding
+        since = self.updated_at
+        silences = self.contacts.list_silences(since, at)
+        held_until = min(at, self.held_elsewhere.until)
+        added = (
+            self.limit.rate * (at - since)
+            - self.held_elsewhere.rate * max(0, held_until - since)
+            - self.shares.count_reserved(silences, since, at)
+        )
+        saved = self.shares.count_saved(silences, at)
+        room = self.limit.burst - self.outstanding - saved
+        if self.level > 0:
+            # Each VM that turned silent uses its part of the level.
+            for silence in silences:
+                if silence.since > since:
+                    self.level -= self.level / len(self.contacts)
         self.level = min(self.level + added, room)
+        self.shares.expire(at)
         self.updated_at = at
 
 
-__all__ = ('BLOCK_LEASE_S', 'OWNER_MARGIN', 'SINGLE_LEASE_S', 'Bucket', 'Grant')
+__all__ = (
+    'BLOCK_LEASE_S',
+    'OWNER_MARGIN',
+    'SINGLE_LEASE_S',
+    'Bucket',
+    'Grant',
+    'HeldElsewhere',
+)
--- a/src/cranberryseam/limits/component.py
+++ b/src/cranberryseam/limits/component.py
@@ -26,6 +26,7 @@
     from ..configuration.settings import Settings
     from ..core.messages import Message
     from ..core.notices import Notice
+    from ..ownership import ContactLog
     from ..types import AccountId, Output, Owners, RequestId, VmId
 
 _SWEEP_TIMER = 'sweep'
@@ -45,18 +46,24 @@
         Locates the owner of a bucket.
     rng
         Source of the run identifier and of fallback decisions.
+    contacts
+        Contacts of this VM, as an owner, with the other VMs.
 
     """
 
     def __init__(
-        self, settings: Settings, ownership: Owners, rng: random.Random
+        self,
+        settings: Settings,
+        ownership: Owners,
+        rng: random.Random,
+        contacts: ContactLog | None = None,
     ) -> None:
         """Start without tokens or buckets."""
         self._vm = settings.vm_id
         self._ownership = ownership
         self._rng = rng
         self._client = TokenClient(settings, ownership, rng)
-        self._owner = BucketOwner(settings, ownership)
+        self._owner = BucketOwner(settings, ownership, contacts)
 
     def handle(self, event: Event | Notice) -> list[Output]:
         """Apply one event or notice."""
--- a/src/cranberryseam/limits/entry.py
+++ b/src/cranberryseam/limits/entry.py
@@ -13,6 +13,7 @@
 from .fallback import FallbackTokens
 from .messages import TokensAsked, TokensGiven
 from .owner import Verdict
+from .rate_shares import SHARE_LIFETIME_S
 from .returns import LeaseReturns
 from .shares import choose_region
 from .waiting import MAX_WAIT_S, Waiting, WaitingRequests
@@ -134,6 +135,12 @@
             self._fallback.record_remaining(
                 token_request.account, answer.remaining
             )
+        if answer.share is not None:
+            self._fallback.receive_share(
+                token_request.account,
+                answer.share,
+                token_request.sent_at + SHARE_LIFETIME_S,
+            )
         if at < token_request.expires_at and answer.count:
             lease = Lease(
                 token_request.number,
@@ -161,7 +168,7 @@
         outputs: list[Output] = []
         for token_request in self._token_requests.values():
             if token_request.group == group:
-                outputs.extend(self._send_token_request(token_request))
+                outputs.extend(self._send_token_request(token_request, at))
         for account, waiting_group in sorted(
             self._waiting.groups_by_account().items()
         ):
@@ -184,7 +191,7 @@
                 and at >= token_request.sent_at + _RESEND_S
             ):
                 token_request.resent = True
-                outputs.extend(self._send_token_request(token_request))
+                outputs.extend(self._send_token_request(token_request, at))
                 outputs.extend(
                     self._ownership.query_leader(token_request.group, at)
                 )
@@ -224,6 +231,7 @@
             self._remove_token_request(token_request)
         for cached in self._accounts.values():
             cached.leases.clear()
+        self._fallback.drop_shares()
 
     def count_cached(self) -> int:
         """Return the number of cached accounts."""
@@ -276,11 +284,13 @@
         cached.tokens_requested += needed
         cached.token_block_requests += bool(prefetch)
         return [
-            *self._send_token_request(token_request),
+            *self._send_token_request(token_request, at),
             *self._set_wait_timer(at),
         ]
 
-    def _send_token_request(self, token_request: TokenRequest) -> list[Output]:
+    def _send_token_request(
+        self, token_request: TokenRequest, at: float
+    ) -> list[Output]:
         leader = self._ownership.leader_of_group(token_request.group)
         if leader is None:
             return []
@@ -291,6 +301,9 @@
             token_request.needed,
             token_request.prefetch,
             self._fallback.remaining_of(token_request.account),
+            self._fallback.read_recent_rate(token_request.account, at),
+            self._fallback.find_share(token_request.account, at),
+            self._fallback.used_without_share(token_request.account),
         )
         return [
             SendMessage(leader, message),
@@ -356,7 +369,7 @@
         return outputs
 
     def _try_fallback(self, cached: CachedAccount, at: float) -> list[Output]:
-        """Let each uncovered request try a fallback token, once."""
+        """Let each uncovered request try a fallback token."""
         outputs: list[Output] = []
         uncovered = len(cached.waiting) - cached.tokens_requested
         for request_id in cached.waiting[: max(0, uncovered)]:
@@ -367,8 +380,6 @@
     def _grant_fallback_token(self, request_id: RequestId, at: float) -> bool:
         """Serve a waiting request without the owner; return whether it was."""
         account = self._waiting.account_of(request_id)
-        if not self._waiting.use_fallback_attempt(request_id):
-            return False
         if not self._fallback.take(self.configuration, account, at):
             return False
         self.cancel(request_id)
--- a/src/cranberryseam/limits/messages.py
+++ b/src/cranberryseam/limits/messages.py
@@ -2,11 +2,32 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..core.messages import Message
 
 _TAG = 400
 
 
+class RateShare(msgspec.Struct, frozen=True, array_like=True):
+    """Part of an account's rate that a VM may use without the owner.
+
+    Parameters
+    ----------
+    term
+        Term of the owner that assigned it.
+    rate
+        Tokens per second.
+    unassigned
+        Tokens per second of the account that no VM held.
+
+    """
+
+    term: int
+    rate: float
+    unassigned: float
+
+
 class TokensAsked(Message, frozen=True, array_like=True, tag=_TAG + 1):
     """Request tokens from the owner of an account's bucket.
 
@@ -25,6 +46,14 @@
     remaining
         Whole tokens that the owner had remaining in its last answer; negative
         if unknown. Tells the next owner how much was used.
+    recent_rate
+        Leased tokens per second that the sender has used; 0 if it uses none
+        without the owner.
+    share
+        Share that the sender holds; None without one.
+    used_without_owner
+        Fallback tokens that the sender has used since the owner's last answer
+        and that no share covers.
 
     """
 
@@ -34,6 +63,9 @@
     needed: int
     prefetch: int
     remaining: int = -1
+    recent_rate: float = 0
+    share: RateShare | None = None
+    used_without_owner: int = 0
 
 
 class TokensGiven(Message, frozen=True, array_like=True, tag=_TAG + 2):
@@ -49,6 +81,8 @@
         Seconds until another token may be available; negative if never.
     remaining
         Whole tokens in the bucket that are not leased.
+    share
+        Share of the receiver from now on; None while the owner assigns none.
 
     """
 
@@ -58,6 +92,7 @@
     verdict: int
     wait_s: float
     remaining: int = 0
+    share: RateShare | None = None
 
 
 class LeaseReport(Message, frozen=True, array_like=True):
@@ -80,6 +115,7 @@
 __all__ = (
     'MESSAGES',
     'LeaseReport',
+    'RateShare',
     'TokensAsked',
     'TokensGiven',
     'TokensReported',
--- a/src/cranberryseam/limits/owner.py
+++ b/src/cranberryseam/limits/owner.py
@@ -10,9 +10,18 @@
 
 from ..configuration.model import Configuration
 from ..core.effects import IncrementCounter, SendMessage
-from .bucket import BLOCK_LEASE_S, OWNER_MARGIN, SINGLE_LEASE_S, Bucket, Grant
+from ..ownership import ContactLog
+from .bucket import (
+    BLOCK_LEASE_S,
+    OWNER_MARGIN,
+    SINGLE_LEASE_S,
+    Bucket,
+    Grant,
+    HeldElsewhere,
+)
 from .changes import PendingChanges
-from .messages import TokensAsked, TokensGiven, TokensReported
+from .messages import RateShare, TokensAsked, TokensGiven, TokensReported
+from .rate_shares import SHARE_LIFETIME_S, InheritedShares
 from .shares import Limit, find_limit
 
 if TYPE_CHECKING:
@@ -61,6 +70,10 @@
         entry VMs.
     granted_early
         Tokens granted before ``opens_at``.
+    used_without_owner
+        Fallback tokens that VMs used before they asked this owner.
+    inherited
+        Shares of the rate that the previous leader assigned.
 
     """
 
@@ -71,11 +84,22 @@
     early: dict[str, Bucket] = attrs.field(factory=dict)
     min_remaining: dict[str, int] = attrs.field(factory=dict)
     granted_early: Counter[str] = attrs.field(factory=Counter)
+    used_without_owner: dict[str, dict[VmId, int]] = attrs.field(factory=dict)
+    inherited: dict[str, InheritedShares] = attrs.field(factory=dict)
 
-    def record_early_grant(self, request: TokensAsked, granted: int) -> None:
+    @property
+    def inherits_until(self) -> float:
+        """Time at which all shares of the previous leader have expired."""
+        return self.opens_at + SHARE_LIFETIME_S * OWNER_MARGIN
+
+    def record_early_grant(
+        self, sender: VmId, request: TokensAsked, granted: int
+    ) -> None:
         """Record an early grant and the remaining tokens that a VM reports."""
         account = request.account
         self.granted_early[account] += granted
+        used = self.used_without_owner.setdefault(account, {})
+        used[sender] = max(used.get(sender, 0), request.used_without_owner)
         if request.remaining >= 0:
             known = self.min_remaining.setdefault(account, request.remaining)
             self.min_remaining[account] = min(known, request.remaining)
@@ -84,14 +108,41 @@
         """Return what remains of the previous bucket; 0 if unknown."""
         if account not in self.min_remaining:
             return 0
-        return max(0, self.min_remaining[account] - self.granted_early[account])
+        used = sum(self.used_without_owner[account].values())
+        spent = self.granted_early[account] + used
+        return max(0, self.min_remaining[account] - spent)
+
+    def inherit_share(self, sender: VmId, request: TokensAsked) -> None:
+        """Record the share that a VM holds from an earlier term."""
+        share = request.share
+        if share is None or share.term == self.term:
+            return
+        account = request.account
+        inherited = self.inherited.get(account)
+        if inherited is None:
+            inherited = InheritedShares(share.unassigned)
+            self.inherited[account] = inherited
+        inherited.report(sender, share.rate, share.unassigned)
+
+    def find_held_elsewhere(self, account: str, rate: float) -> HeldElsewhere:
+        """Return the part of a rate that VMs still hold from earlier terms."""
+        inherited = self.inherited.get(account)
+        if inherited is None:
+            return HeldElsewhere()
+        return HeldElsewhere(inherited.count_held(rate), self.inherits_until)
 
 
 class BucketOwner:
     """Leases tokens from the buckets of the groups that this VM leads."""
 
-    def __init__(self, settings: Settings, ownership: Owners) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        ownership: Owners,
+        contacts: ContactLog | None = None,
+    ) -> None:
         """Start without buckets."""
+        self._contacts = ContactLog() if contacts is None else contacts
         self._region = settings.vm.region
         self._regions = settings.region_names
         self._ownership = ownership
@@ -122,10 +173,15 @@
                     _CONFIGURATION_RETRY_S,
                 )
             ]
+        if at < table.inherits_until:
+            table.inherit_share(sender, request)
         if at < table.opens_at:
             return [self._answer_early(table, limit, sender, request, at)]
-        bucket = _find_bucket(table, request.account, limit, at)
+        bucket = self._find_bucket(table, request.account, limit, at)
         bucket.advance(at)
+        bucket.held_elsewhere = table.find_held_elsewhere(
+            request.account, limit.rate
+        )
         count = _lease(bucket, sender, request, at)
         verdict = Verdict.rate
         if (
@@ -140,6 +196,7 @@
             int(verdict),
             bucket.seconds_until_token(at),
             max(0, int(bucket.level)),
+            _assign_share(bucket, table.term, sender, request, at),
         )
         return [SendMessage(sender, answer)]
 
@@ -229,7 +286,7 @@
         bucket.advance(at)
         count = bucket.take(request.needed, 0)
         if self._tolerance.early_share:
-            table.record_early_grant(request, count)
+            table.record_early_grant(sender, request, count)
         wait_s = table.opens_at - at
         verdict = int(Verdict.not_ready)
         answer = TokensGiven(
@@ -303,23 +360,59 @@
             # The account may have just been removed or moved from another
             # region, with leases that are still in use.
             opens_at = max(at + _HANDOVER_S, table.opens_at)
-            table.buckets[account] = Bucket(limit, 0, opens_at)
+            table.buckets[account] = Bucket(
+                limit, 0, opens_at, contacts=self._contacts
+            )
         else:
-            bucket = _find_bucket(table, account, old, at)
+            bucket = self._find_bucket(table, account, old, at)
             bucket.change_limit(limit, at)
 
+    def _find_bucket(
+        self, table: BucketTable, account: str, limit: Limit, at: float
+    ) -> Bucket:
+        """Return the stored bucket, or one refilled since the table opened."""
+        bucket = table.buckets.get(account)
+        if bucket is None:
+            level = min(limit.burst, self._estimate_remaining(table, account))
+            bucket = Bucket(
+                limit,
+                level,
+                table.opens_at,
+                contacts=self._contacts,
+                held_elsewhere=table.find_held_elsewhere(account, limit.rate),
+            )
+            bucket.advance(at)
+            table.buckets[account] = bucket
+        return bucket
 
-def _find_bucket(
-    table: BucketTable, account: str, limit: Limit, at: float
-) -> Bucket:
-    """Return the stored bucket, or one refilled since the table opened."""
-    bucket = table.buckets.get(account)
-    if bucket is None:
-        filled = limit.rate * max(0, at - table.opens_at)
-        level = min(limit.burst, filled + table.remaining_before(account))
-        bucket = Bucket(limit, level, max(at, table.opens_at))
-        table.buckets[account] = bucket
-    return bucket
+    def _estimate_remaining(self, table: BucketTable, account: str) -> float:
+        """Return what remains of the previous bucket.
+
+        Each VM that doesn't reach this owner may use its part of it.
+        """
+        remaining = table.remaining_before(account)
+        if not self._contacts:
+            return remaining
+        present = len(self._contacts) * self._ownership.fallback_share()
+        return remaining * min(1, present or 1)
+
+
+def _assign_share(
+    bucket: Bucket, term: int, vm: VmId, request: TokensAsked, at: float
+) -> RateShare | None:
+    """Assign a VM a share of the rate for the time without this owner."""
+    if not (request.recent_rate or request.share):
+        return None
+    held = request.share
+    rate = bucket.shares.assign(
+        vm,
+        request.recent_rate,
+        held.rate if held and held.term == term else 0,
+        bucket.limit.rate,
+        at + SHARE_LIFETIME_S * OWNER_MARGIN,
+    )
+    unassigned = bucket.shares.count_unassigned(bucket.limit.rate)
+    return RateShare(term, rate, unassigned)
 
 
 def _lease(bucket: Bucket, vm: str, request: TokensAsked, at: float) -> int:
--- a/src/cranberryseam/limits/waiting.py
+++ b/src/cranberryseam/limits/waiting.py
@@ -12,8 +12,8 @@
 
     from ..types import RequestId
 
-# Wait for a token if no owner has answered recently. After the same time, a
-# fallback token is tried, and an unanswered token request is dropped.
+# Wait for a token if no owner has answered recently. After the same time,
+# fallback tokens are tried, and an unanswered token request is dropped.
 MAX_WAIT_S = 0.25
 # A lost owner has a successor within 1.5 s, which grants tokens within another
 # second.
@@ -30,7 +30,7 @@
     Parameters
     ----------
     fallback_at
-        Time of its only attempt to get a fallback token; infinite afterwards.
+        Time from which it may use a fallback token.
 
     """
 
@@ -86,13 +86,6 @@
         """Return the account of a waiting request."""
         return self._requests[request_id].account
 
-    def use_fallback_attempt(self, request_id: RequestId) -> bool:
-        """Use up the fallback attempt; return whether it was unused."""
-        waiting = self._requests[request_id]
-        is_first = waiting.fallback_at < math.inf
-        waiting.fallback_at = math.inf
-        return is_first
-
     def list_all(self) -> list[tuple[RequestId, Waiting]]:
         """Return all waiting requests."""
         return list(self._requests.items())
--- a/src/cranberryseam/ownership/component.py
+++ b/src/cranberryseam/ownership/component.py
@@ -15,6 +15,7 @@
 )
 from ..core.notices import LeadershipChanged
 from ..types import VmId
+from .contacts import OwnerContact
 from .directory import LeaderDirectory
 from .groups import GroupIndex
 from .loopback import deliver_to_self
@@ -113,6 +114,10 @@
         """Return 0: without an owner the use of a limit can't be counted."""
         return 0
 
+    def last_contact(self) -> OwnerContact:
+        """Return no contact: without an owner nothing may be used."""
+        return OwnerContact()
+
     def query_leader(self, group: str, at: float) -> list[Output]:
         """Query a group for its leader.
 
--- a/src/cranberryseam/types.py
+++ b/src/cranberryseam/types.py
@@ -10,6 +10,7 @@
     from .core.effects import Effect
     from .core.events import Event
     from .core.notices import Notice
+    from .ownership.contacts import OwnerContact
 
 VmId = NewType('VmId', str)
 AccountId = NewType('AccountId', str)
@@ -62,6 +63,9 @@
     def fallback_share(self) -> float:
         """Return this VM's share of a limit while no owner answers."""
 
+    def last_contact(self) -> OwnerContact:
+        """Return the last contact of this VM with the owner."""
+
     def query_leader(self, group: str, at: float) -> list[Output]:
         """Ask a group for its leader after the known one did not answer."""
 
--- a/tests/limits/test_component.py
+++ b/tests/limits/test_component.py
@@ -100,17 +100,17 @@
 
     def test_full_buckets(self) -> None:
         """A new leader that starts with full buckets grants a second burst."""
-        original_find = owner._find_bucket
+        original_find = owner.BucketOwner._find_bucket
 
         def find_full(*args: object) -> Bucket:
-            account = args[1]
-            kept = account in args[0].buckets  # type: ignore[attr-defined]
+            account = args[2]
+            kept = account in args[1].buckets  # type: ignore[attr-defined]
             bucket = original_find(*args)  # type: ignore[arg-type]
             if not kept:
                 bucket.level = bucket.limit.burst
             return bucket
 
-        with mock.patch.object(owner, '_find_bucket', find_full):
+        with mock.patch.object(owner.BucketOwner, '_find_bucket', find_full):
             self.assertTrue(_find_excess())
 
     def test_lease_counted_from_receipt(self) -> None:
--- a/tests/limits/test_owner_change.py
+++ b/tests/limits/test_owner_change.py
@@ -8,6 +8,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from cranberryseam.attachment.client import POLL_INTERVAL_S
 from cranberryseam.configuration.model import Account, Configuration, Plan
 from cranberryseam.configuration.settings import (
     Addresses,
@@ -20,9 +21,15 @@
 from cranberryseam.limits.bucket import BLOCK_LEASE_S, OWNER_MARGIN
 from cranberryseam.limits.entry import TokenClient
 from cranberryseam.limits.fallback import FallbackTokens
-from cranberryseam.limits.messages import TokensAsked, TokensGiven
+from cranberryseam.limits.messages import (
+    RateShare,
+    TokensAsked,
+    TokensGiven,
+)
 from cranberryseam.limits.owner import BucketOwner, Verdict
+from cranberryseam.limits.rate_shares import SHARE_LIFETIME_S, RateShares
 from cranberryseam.limits.waiting import HANDOVER_WAIT_S, MAX_WAIT_S
+from cranberryseam.ownership import OwnerContact
 from cranberryseam.types import AccountId, Output, RequestId, VmId
 
 VMS = 32
@@ -33,7 +40,11 @@
 TOLERATED_TOKENS = 20
 TOLERANCE = LimitSettings(early_share=0.5, early_tokens=4)
 ELECTED_AT_S = 100.0
+TERM = 1
+# Start of an outage; the last contact was half a polling interval before.
+OUTAGE_AT_S = 10.0
 STEP_S = 0.05
+_SEEDS = 40
 
 
 class _OwnersStub:
@@ -51,6 +62,9 @@
     def fallback_share(self) -> float:
         return 1 / VMS
 
+    def last_contact(self) -> OwnerContact:
+        return OwnerContact(TERM, OUTAGE_AT_S - POLL_INTERVAL_S / 2)
+
 
 def _configure(rate: float = RATE) -> Configuration:
     account = Account(AccountId('asha'), 'large', home='fleet')
@@ -193,23 +207,66 @@
 class FallbackTokensTest(TestCase):
     """VMs that temporarily can't reach any owner."""
 
-    def _serve(self, vm_rates: list[float], outage_s: float) -> int:
+    def _assign(
+        self, fallbacks: list[FallbackTokens], configuration: Configuration
+    ) -> None:
+        """Assign shares of the rate for what the VMs used."""
+        rate = configuration.plans['large'].rate
+        shares = RateShares()
+        expires_at = OUTAGE_AT_S + SHARE_LIFETIME_S
+        # VMs ask again and again; their first shares depend on the order.
+        for number, fallback in list(enumerate(fallbacks)) * 3:
+            claim = fallback.read_recent_rate('asha', OUTAGE_AT_S)
+            assigned = shares.assign(
+                VmId(f'e{number}'), claim, 0, rate, expires_at
+            )
+            unassigned = shares.count_unassigned(rate)
+            share = RateShare(TERM, assigned, unassigned)
+            fallback.receive_share('asha', share, expires_at)
+
+    def _serve(self, vm_rates: list[float], outage_s: float, seed: int) -> int:
         """Return the number of requests served without an owner."""
         configuration = _configure()
-        rng = random.Random(len(vm_rates))
+        rng = random.Random(seed)
         served = 0
+        fallbacks = []
         for rate in vm_rates:
             fallback = FallbackTokens(_settings(TOLERANCE), _OwnersStub(), rng)
+            fallbacks.append(fallback)
             at = 0.0
-            while rate and at < 10:
-                at += rng.expovariate(rate)
+            while rate and (at := at + rng.expovariate(rate)) < OUTAGE_AT_S:
                 fallback.record_use('asha', at)
-            at = 10.0
-            while rate:
-                at += rng.expovariate(rate)
-                if at > 10 + outage_s:
-                    break
-                served += fallback.take(configuration, 'asha', at)
+        self._assign(fallbacks, configuration)
+        for rate, fallback in zip(vm_rates, fallbacks, strict=True):
+            at = OUTAGE_AT_S
+            arrivals = []
+            while rate and (at := at + rng.expovariate(rate)) < (
+                OUTAGE_AT_S + outage_s
+            ):
+                arrivals.append(at)
+            served += self._serve_waiting(fallback, configuration, arrivals)
+        return served
+
+    def _serve_waiting(
+        self,
+        fallback: FallbackTokens,
+        configuration: Configuration,
+        arrivals: list[float],
+    ) -> int:
+        """Serve requests that wait for a token as long as a VM lets them."""
+        served = 0
+        waiting: list[float] = []
+        until = arrivals[-1] + HANDOVER_WAIT_S if arrivals else OUTAGE_AT_S
+        for step in range(int((until - OUTAGE_AT_S) / STEP_S)):
+            at = OUTAGE_AT_S + step * STEP_S
+            while arrivals and arrivals[0] <= at:
+                waiting.append(arrivals.pop(0))
+            waiting = [
+                since for since in waiting if at < since + HANDOVER_WAIT_S
+            ]
+            while waiting and fallback.take(configuration, 'asha', at):
+                waiting.pop(0)
+                served += 1
         return served
 
     @parameterized.expand(
@@ -223,8 +280,11 @@
         account whose callers use only a few VMs.
         """
         outage_s = 2.0
-        served = self._serve(vm_rates, outage_s)
-        self.assertGreater(served, 0.75 * sum(vm_rates) * outage_s)
+        served = sum(
+            self._serve(vm_rates, outage_s, seed) for seed in range(_SEEDS)
+        )
+        expected = sum(vm_rates) * outage_s * _SEEDS
+        self.assertGreater(served, 0.75 * expected)
 
     @parameterized.expand([('empty', 0, 0.2), ('full', 13, 0.7)])
     def test_small_accounts(self, _: str, left: int, min_share: float) -> None:
@@ -251,15 +311,19 @@
         configuration = _configure()
         rng = random.Random(vms)
         served = 0
+        own = RATE / vms
+        fallbacks = []
         for _vm in range(vms):
             fallback = FallbackTokens(_settings(TOLERANCE), _OwnersStub(), rng)
-            own = RATE / vms
+            fallbacks.append(fallback)
             at = rng.random() / own
-            while at < 10:
+            while at < OUTAGE_AT_S:
                 fallback.record_use('asha', at)
                 at += 1 / own
-            at = 10.0
-            while at < 10 + WINDOW_S:
+        self._assign(fallbacks, configuration)
+        for fallback in fallbacks:
+            at = OUTAGE_AT_S
+            while at < OUTAGE_AT_S + WINDOW_S:
                 at += rng.expovariate(own * 5)
                 served += fallback.take(configuration, 'asha', at)
         allowed = (RATE * WINDOW_S + RATE) * (
