--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -203,6 +203,21 @@
     body: bytes
 
 
+@attrs.frozen
+class TargetStatement:
+    """What a target says of itself in an answer.
+
+    Parameters
+    ----------
+    max_rate
+        Requests per second that it takes from all VMs together; None without
+        a limit.
+
+    """
+
+    max_rate: float | None = None
+
+
 @attrs.frozen
 class AnswerReady(Event):
     """Status, headers and the beginning of the body have arrived.
@@ -216,6 +231,8 @@
         request.
     answer
         The answer if it is complete and small enough to store.
+    statement
+        What the target says of itself.
 
     """
 
@@ -226,6 +243,7 @@
     not_run: bool = False
     retry_after_s: float | None = None
     answer: StoredAnswer | None = None
+    statement: TargetStatement = TargetStatement()
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -121,6 +121,40 @@
 
     def handle_answer(self, event: ev.AnswerReady) -> _Outputs:
         """Forward an answer, or retry if another target may succeed."""
+        return [*self._record_statement(event), *self._choose_next(event)]
+
+    def handle_answer_end(self, event: ev.AnswerEnded) -> _Outputs:
+        """Complete a request whose answer was forwarded."""
+        state = self._requests.find_attempt(
+            event.request_id, event.attempt_id, Stage.forwarding
+        )
+        if state is None:
+            return []
+        self._requests.states.pop(state.request_id)
+        if event.complete:
+            return [
+                *self._requests.release(state, state.outcome, event.at),
+                *self._requests.complete_claim(state, Executed.yes, event.at),
+            ]
+        return [
+            *self._requests.release(state, AttemptOutcome.failed, event.at),
+            *self._requests.complete_claim(state, Executed.unknown, event.at),
+            count_refusal(RefusalReason.answer_incomplete),
+        ]
+
+    def _record_statement(self, event: ev.AnswerReady) -> _Outputs:
+        state = self._requests.find(event.request_id, Stage.answer)
+        if state is None:
+            return []
+        outputs: _Outputs = []
+        for attempt in (state.primary, state.hedge):
+            if attempt is not None and attempt.attempt_id == event.attempt_id:
+                outputs += self._router.record_statement(
+                    state.service, attempt.target, event.statement, event.at
+                )
+        return outputs
+
+    def _choose_next(self, event: ev.AnswerReady) -> _Outputs:
         state = self._requests.find_attempt(
             event.request_id, event.attempt_id, Stage.answer
         )
@@ -144,25 +178,6 @@
         )
         return [*hedged, line, *self._process_answer(state, event, outcome)]
 
-    def handle_answer_end(self, event: ev.AnswerEnded) -> _Outputs:
-        """Complete a request whose answer was forwarded."""
-        state = self._requests.find_attempt(
-            event.request_id, event.attempt_id, Stage.forwarding
-        )
-        if state is None:
-            return []
-        self._requests.states.pop(state.request_id)
-        if event.complete:
-            return [
-                *self._requests.release(state, state.outcome, event.at),
-                *self._requests.complete_claim(state, Executed.yes, event.at),
-            ]
-        return [
-            *self._requests.release(state, AttemptOutcome.failed, event.at),
-            *self._requests.complete_claim(state, Executed.unknown, event.at),
-            count_refusal(RefusalReason.answer_incomplete),
-        ]
-
     def _process_answer(
         self,
         state: RequestState,
--- a/src/cranberryseam/requests/collaborators.py
+++ b/src/cranberryseam/requests/collaborators.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from ..core.events import StoredAnswer
+from ..core.events import StoredAnswer, TargetStatement
 from ..core.notices import SlotAssigned
 from ..core.refusals import Executed
 from ..routing.model import AdmitRequest, AttemptOutcome
-from ..types import AccountId, Output, RequestId, ServiceName
+from ..types import AccountId, Output, RequestId, ServiceName, TargetId
 from .admission import Keys
 
 
@@ -85,6 +85,15 @@
     def cancel(self, request_id: RequestId, at: float) -> Sequence[Output]:
         """Cancel the wait of a request for a slot, or release its slot."""
 
+    def record_statement(
+        self,
+        service: ServiceName,
+        target: TargetId,
+        statement: TargetStatement,
+        at: float,
+    ) -> Sequence[Output]:
+        """Apply what a target says of itself in an answer."""
+
     def acquire_retry(
         self,
         service: ServiceName,
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..core.commands import ShowTargets
-from ..core.effects import SendMessage, SetTimer
+from ..core.effects import SendMessage, SetTimer, WriteLog
 from ..core.events import (
     CommandReceived,
     Event,
@@ -62,7 +63,7 @@
     from collections.abc import Iterable
 
     from ..configuration.settings import Settings
-    from ..core.events import Announcement
+    from ..core.events import Announcement, TargetStatement
     from ..types import (
         AccountId,
         Output,
@@ -255,6 +256,21 @@
             return True
         return self._budgets.acquire(service, account, at)
 
+    def record_statement(
+        self,
+        service: ServiceName,
+        target: TargetId,
+        statement: TargetStatement,
+        at: float,
+    ) -> list[Output]:
+        """Apply what a target says of itself in an answer."""
+        state = self._services.find(service)
+        stated = state.targets.get(target) if state else None
+        if stated is None or stated.statement == statement:
+            return []
+        stated.statement = statement
+        return [_describe_statement(service, target, statement)]
+
     def max_idle_s(self, service: ServiceName, at: float) -> float:
         """Return the idle time up to which a connection may be reused."""
         return self._idle.max_idle_s(service, at)
@@ -461,6 +477,17 @@
         return self._admission.dispatch(state, at) if state else []
 
 
+def _describe_statement(
+    service: ServiceName, target: TargetId, statement: TargetStatement
+) -> WriteLog:
+    fields = {
+        'service': service,
+        'target': target,
+        'max_rate': statement.max_rate,
+    }
+    return WriteLog(logging.INFO, 'target statement changed', fields)
+
+
 def _count_regions(settings: Settings) -> int:
     return max(1, len({region for _, region in settings.places}))
 
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from ..core.events import Announcement, TargetState
+from ..core.events import Announcement, TargetState, TargetStatement
 from .health import FailureEstimate
 from .messages import OutcomeRow
 
@@ -93,6 +93,8 @@
         Time until which this VM probably has an idle connection to it.
     idle_until
         Time until which it is taken for a target that no VM uses.
+    statement
+        What it says of itself in its latest answer.
 
     """
 
@@ -119,6 +121,7 @@
     local_estimate: FailureEstimate = attrs.field(factory=FailureEstimate)
     connection_warm_until: float = float('-inf')
     idle_until: float = float('-inf')
+    statement: TargetStatement = TargetStatement()
 
     @property
     def usable(self) -> bool:
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -240,6 +240,7 @@
                 not_run=response.not_run,
                 retry_after_s=response.retry_after_s,
                 answer=response.store() if effect.keep_answer else None,
+                statement=response.statement,
             )
         )
 
--- a/src/cranberryseam/serving/dialect.py
+++ b/src/cranberryseam/serving/dialect.py
@@ -48,6 +48,8 @@
     authenticity_header
         Header that every successful response of a target has; a success
         without it was not sent by the target.
+    rate_limit_header
+        Requests per second that a target takes from all VMs together.
     preserve_host
         Whether targets get the caller's ``Host``.
     accept_close_delimited
@@ -72,6 +74,7 @@
     not_run_value: bytes = b'1'
     not_run_statuses: frozenset[int] = _SHEDDING
     authenticity_header: bytes = b''
+    rate_limit_header: bytes = b'cranberryseam-rate-limit'
     preserve_host: bool = False
     accept_close_delimited: bool = False
     fractional_retry_after: bool = False
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import calendar
+import logging
 import re
 import time
 from collections.abc import AsyncIterator
@@ -12,7 +13,7 @@
 import attrs
 import httpx
 
-from ..core.events import StoredAnswer
+from ..core.events import StoredAnswer, TargetStatement
 from .asgi import HeaderList
 from .dialect import DEFAULT_DIALECT, Dialect
 from .headers import (
@@ -28,11 +29,11 @@
 # Largest body of a response that is stored for repeated requests.
 MAX_STORED_BYTES = 16_384
 _RETRY_AFTER = b'retry-after'
-_MAX_RETRY_AFTER_DIGITS = 9
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
 _CONTENT_ENCODING = b'content-encoding'
-_FRACTION = re.compile(r'\d{1,9}\.\d{1,9}')
+_DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
+_log = logging.getLogger(__name__)
 _MIN_FINAL_STATUS = 200
 _MAX_STATUS = 599
 
@@ -94,12 +95,26 @@
                 return parse_retry_after(value)
         return None
 
+    @property
+    def statement(self) -> TargetStatement:
+        """What the target says of itself; invalid values are ignored."""
+        return TargetStatement(self._find_max_rate())
+
     def store(self) -> StoredAnswer | None:
         """Return the response for storage, None if it is too large."""
         if not self.complete or len(self.buffered) > MAX_STORED_BYTES:
             return None
         return StoredAnswer(self.status, tuple(self.headers), self.buffered)
 
+    def _find_max_rate(self) -> float | None:
+        for name, value in self.headers:
+            if name == self.dialect.rate_limit_header:
+                rate = parse_decimal(value)
+                if rate is None:
+                    _log.warning('invalid rate limit of a target: %r', value)
+                return rate
+        return None
+
 
 def open_response(
     http_response: httpx.Response,
@@ -179,16 +194,18 @@
         response.headers.append((CONTENT_LENGTH, length))
 
 
+def parse_decimal(value: bytes) -> float | None:
+    """Parse a decimal number without a sign, None if it is invalid."""
+    text = value.decode('latin-1').strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def parse_retry_after(value: bytes) -> float | None:
     """Parse a ``Retry-After`` value to seconds, None if it is invalid."""
-    text = value.decode('latin-1').strip()
-    if text.isascii() and text.isdigit():
-        if len(text) > _MAX_RETRY_AFTER_DIGITS:
-            return None
-        return float(text)
-    if _FRACTION.fullmatch(text):
-        return float(text)
-    parsed_date = parsedate(text)
+    seconds = parse_decimal(value)
+    if seconds is not None:
+        return seconds
+    parsed_date = parsedate(value.decode('latin-1'))
     if parsed_date is None:
         return None
     return max(0, calendar.timegm(parsed_date) - time.time())
@@ -208,6 +225,7 @@
     'MAX_STORED_BYTES',
     'TargetResponse',
     'open_response',
+    'parse_decimal',
     'parse_retry_after',
     'read_buffered_part',
 )
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -17,7 +17,11 @@
     Route,
     Service,
 )
-from cranberryseam.core.events import RequestHead, StoredAnswer
+from cranberryseam.core.events import (
+    RequestHead,
+    StoredAnswer,
+    TargetStatement,
+)
 from cranberryseam.core.notices import (
     ClaimGranted,
     ClaimRefused,
@@ -70,6 +74,9 @@
     released: list[AttemptOutcome] = attrs.field(factory=list)
     cancelled: list[RequestId] = attrs.field(factory=list)
     admitted: list[AdmitRequest] = attrs.field(factory=list)
+    statements: list[tuple[TargetId, TargetStatement]] = attrs.field(
+        factory=list
+    )
 
     def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
         """Accept one key until it is withdrawn."""
@@ -159,6 +166,17 @@
         self.cancelled.append(request_id)
         return []
 
+    def record_statement(
+        self,
+        service: ServiceName,
+        target: TargetId,
+        statement: TargetStatement,
+        at: float,
+    ) -> list[Output]:
+        """Record what a target says of itself."""
+        self.statements.append((target, statement))
+        return []
+
     def acquire_retry(
         self,
         service: ServiceName,
