--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -83,6 +83,8 @@
         ``late_answers``).
     attempt_times
         Time of each attempt.
+    statement
+        What its answers say of it.
 
     """
 
@@ -97,6 +99,7 @@
     sequence: int = 0
     executions: Counter[str] = attrs.field(factory=Counter)
     attempt_times: list[float] = attrs.field(factory=list)
+    statement: ev.TargetStatement = ev.TargetStatement()
 
 
 @attrs.define(eq=False)
@@ -500,7 +503,12 @@
         kept = ev.StoredAnswer(status, (), call.order.encode())
         stored = kept if effect.keep_answer else None
         ready = lambda at: ev.AnswerReady(  # noqa: E731
-            at, *ids, status, True, answer=stored
+            at,
+            *ids,
+            status,
+            True,
+            answer=stored,
+            statement=target.statement,
         )
         return [(answer_delay_s, ready), end(TARGET_DELAY_S, whole=True)]
 
