Keep the rate limits that targets state

What callers saw: nothing yet; targets in need got up to four times the requests that they take (LIMIT), which makes them slower or reject requests.

Cause: the limit wasn't read, and the load plan of 44 VMs gives a target its part of the demand whatever it states. A limit applied by each VM alone would not help, because no VM sends a target more than a request per second.

Change: the requests that a target takes are numbered along the wall clock, and each VM sends those whose number modulo the number of VMs is its rank, within 1.5 s. The rank comes with the replies to polls, or from the names of the VMs that know each other by gossip. So the sum keeps the limit without an answer of another VM: while VMs are cut off, restarted, or without an owner. A lower number of VMs is applied after 10 s, because the missing VMs may only be cut off. The first VM that gets a new statement informs the others through the leader. Requests wait for a turn only if it comes before their latest start.

Evidence: 13 of 14 cases of test_limited_targets.py failed before, up to 46 requests in 4 s with 11 allowed; all pass. With turns ignored, the test of gossip members fails as well.

Costs: a VM that has no request leaves its turn unused.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -72,6 +72,7 @@
         """Create a client that knows no leader."""
         self.leader: VmId | None = None
         self.vm_count = 0
+        self._rank = 0
         self.last_contact = OwnerContact()
         self.rows: dict[TargetId, TargetRow] = {}
         self._vm = settings.vm_id
@@ -182,7 +183,7 @@
         if reply.members:
             self._members = reply.members
             self._members_index = reply.members_index
-        count_changes = self._apply_vm_count(reply.vm_count, at)
+        count_changes = self._apply_vm_count(reply, at)
         self._replied_at = max(self._replied_at, reply.sent_at)
         confirmed_at = reply.sent_at - reply.age_s
         outputs: list[Output] = [
@@ -210,11 +211,16 @@
         self._answered_at = max(self._answered_at, reply.answered_at)
         self.last_contact = OwnerContact(reply.term, at)
 
-    def _apply_vm_count(self, vms: int, at: float) -> list[Output]:
-        if not vms or vms == self.vm_count:
+    def _apply_vm_count(self, reply: PollReply, at: float) -> list[Output]:
+        if not reply.vm_count:
             return []
-        self.vm_count = vms
-        return [FleetSizeChanged(at, vms)]
+        change = FleetSizeChanged(at, reply.vm_count, reply.vm_rank)
+        known = (self.vm_count, self._rank)
+        if known == (change.vm_count, change.rank):
+            return []
+        self.vm_count = change.vm_count
+        self._rank = change.rank
+        return [change]
 
     def _apply_configuration(self, reply: PollReply, at: float) -> list[Output]:
         if reply.content is None:
--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -95,6 +95,8 @@
         that the receiver knows and that ``rows`` do not contain.
     answered_at
         Time of the reply on the clock of the leader.
+    vm_rank
+        Rank of the receiver among the VMs, from 0 to ``vm_count`` - 1.
 
     """
 
@@ -110,6 +112,7 @@
     content: ContentDelta | FullContent | None = None
     departed: tuple[Departure, ...] = ()
     answered_at: float = 0
+    vm_rank: int = 0
 
 
 class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -119,6 +119,8 @@
         self._started_at: float = 0
         self._started_wall_s: float = 0
         self._polled_at: dict[VmId, float] = {}
+        # Computed when it is needed after a VM has joined or left.
+        self._ranks: dict[VmId, int] = {}
         self._content_history = ContentHistory()
         self._log_lines: list[WriteLog] = []
 
@@ -154,9 +156,10 @@
     ) -> list[Output]:
         match message:
             case Poll() as poll:
-                reply = SendMessage(sender, self._answer_poll(poll, at))
                 self._record_contact(sender, poll, at)
-                return [*self._record_vm(sender, poll.data_centre, at), reply]
+                joined = self._record_vm(sender, poll.data_centre, at)
+                reply = self._answer_poll(sender, poll, at)
+                return [*joined, SendMessage(sender, reply)]
             case PassedAnnouncement(
                 reply_id=reply_id, announcement=announcement
             ):
@@ -179,9 +182,18 @@
             return 0
         return len(self._polled_at)
 
+    def _find_rank(self, vm: VmId) -> int:
+        """Return the rank of a VM by its name."""
+        if not self._ranks:
+            names = sorted(self._polled_at)
+            self._ranks = {name: rank for rank, name in enumerate(names)}
+        return self._ranks[vm]
+
     def _record_vm(self, vm: VmId, data_centre: str, at: float) -> list[Output]:
         known = vm in self._polled_at
         self._polled_at[vm] = at
+        if not known:
+            self._ranks.clear()
         if known and not data_centre:
             return []
         region = self._regions_by_data_centre.get(data_centre, '')
@@ -199,6 +211,7 @@
         for vm, polled_at in tuple(self._polled_at.items()):
             if at - polled_at > _VM_TIMEOUT_S:
                 self._polled_at.pop(vm)
+                self._ranks.clear()
                 outputs.append(MemberChanged(at, vm, '', MemberStatus.dead))
         return outputs
 
@@ -228,7 +241,9 @@
             WriteLog(logging.INFO, 'table of targets taken over', fields)
         )
 
-    def _answer_poll(self, poll: Poll, at: float) -> PollReply | LeaderHint:
+    def _answer_poll(
+        self, vm: VmId, poll: Poll, at: float
+    ) -> PollReply | LeaderHint:
         leader_status = self._find_leader_status(at)
         if leader_status is None:
             leader = self._replica.leader_vm
@@ -256,6 +271,7 @@
             ),
             departed=self._table.departures.list_after(after),
             answered_at=at,
+            vm_rank=self._find_rank(vm),
         )
 
     def _forward_announcement(self, event: TargetAnnounced) -> list[Output]:
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -72,9 +72,17 @@
 
 @attrs.frozen
 class FleetSizeChanged(Notice):
-    """The number of VMs in the fleet changed."""
+    """The number of VMs in the fleet, or the rank of this VM, changed.
+
+    Parameters
+    ----------
+    rank
+        Different for each VM, from 0 to ``vm_count`` - 1.
+
+    """
 
     vm_count: int
+    rank: int = 0
 
 
 class MemberStatus(Enum):
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -61,7 +61,10 @@
             target = Selection(state, request, at, self._rng).choose()
             if target is not None:
                 return [self._assign(state, request, target, at)]
-        wait_s = lane.wait_s(lane.queue.count_ahead(request))
+        wait_s = max(
+            lane.wait_s(lane.queue.count_ahead(request)),
+            state.pause_s(at),
+        )
         if at + wait_s > start_by:
             reason = RefusalReason.deadline_too_short
             return [_deny(at, request, reason, wait_s)]
@@ -225,10 +228,10 @@
     def _schedule_wake(self, state: ServiceState, at: float) -> list[Output]:
         """Schedule a dispatch at the end of the first target's back-off."""
         paused = [
-            target.blocked_until
+            resumes_at
             for group in state.eligible_targets(at)
             for target in group
-            if target.blocked_until > at
+            if (resumes_at := target.resumes_at(at)) > at
         ]
         first = min(paused, default=math.inf)
         if first >= self._wake_times.get(state.name, math.inf):
--- a/src/cranberryseam/routing/attempts.py
+++ b/src/cranberryseam/routing/attempts.py
@@ -56,6 +56,8 @@
         target = self.target
         target.integrate_use(self.started_at)
         target.in_use += 1
+        if target.rate_limit is not None:
+            target.rate_limit.use_turn(self.started_at)
         if self.request.lane == LONG_LANE:
             target.in_use_long += 1
         self.state.unreported[target.announcement.target] = target
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -157,6 +157,24 @@
     service: str
 
 
+class TargetStated(Message, frozen=True, array_like=True, tag=607):  # noqa: WPS432 (tag)
+    """What a target says of itself in its answers.
+
+    Sent by a VM to the leader, and by the leader to all VMs.
+
+    Parameters
+    ----------
+    max_rate
+        Requests per second that it takes from all VMs together; None without
+        a limit.
+
+    """
+
+    service: str
+    target: str
+    max_rate: float | None
+
+
 MESSAGES: tuple[type[Message], ...] = (
     OutcomeReport,
     ServiceView,
@@ -165,6 +183,7 @@
     BudgetAsked,
     BudgetGiven,
     IdleClosed,
+    TargetStated,
 )
 
 __all__ = (
@@ -178,4 +197,5 @@
     'OutcomeReport',
     'OutcomeRow',
     'ServiceView',
+    'TargetStated',
 )
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..core.commands import ShowTargets
-from ..core.effects import SendMessage, SetTimer, WriteLog
+from ..core.effects import SendMessage, SetTimer
 from ..core.events import (
     CommandReceived,
     Event,
@@ -46,6 +45,7 @@
     IdleClosed,
     OutcomeReport,
     ServiceView,
+    TargetStated,
 )
 from .model import (
     COMPONENT,
@@ -58,6 +58,7 @@
 from .reporting import ReportScheduler, apply_view
 from .services import ServiceTable
 from .shared_budget import SharedRetryBudget
+from .statements import StatementSharing
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -131,6 +132,7 @@
         )
         self._services = ServiceTable(settings, self._tuning, self._health)
         self._idle = IdleLimits(settings.vm.region, leaders)
+        self._statements = StatementSharing(settings, self._services, leaders)
         self._decayed_at: float = 0
         self._discovery_until: float = 0
 
@@ -157,7 +159,7 @@
                     )
                 ]
             case Started():
-                return self._start(event.at)
+                return self._start(event)
             case StopRequested():
                 return self._stop(event.at)
         return []
@@ -264,12 +266,9 @@
         at: float,
     ) -> list[Output]:
         """Apply what a target says of itself in an answer."""
-        state = self._services.find(service)
-        stated = state.targets.get(target) if state else None
-        if stated is None or stated.statement == statement:
-            return []
-        stated.statement = statement
-        return [_describe_statement(service, target, statement)]
+        return self._deliver_local(
+            self._statements.record(service, target, statement, at), at
+        )
 
     def max_idle_s(self, service: ServiceName, at: float) -> float:
         """Return the idle time up to which a connection may be reused."""
@@ -318,15 +317,18 @@
             case MemberChanged(vm=vm, region=region, status=MemberStatus.alive):
                 self._health.add_vm(vm, region)
                 self._idle.add_vm(vm)
+                self._statements.add_vm(vm, event.at)
             case MemberChanged(vm=vm, status=status):
                 if status in _DEPARTED:
                     self._leadership.forget_vm(vm)
                     self._health.remove_vm(vm)
                     self._idle.remove_vm(vm)
+                    self._statements.remove_vm(vm, event.at)
             case LeadershipChanged():
                 self._leadership.check_leadership(event.at)
             case FleetSizeChanged(vm_count=vms):
                 self._retries.set_vm_count(vms)
+                self._statements.set_rank(event)
 
     def _share_health(
         self,
@@ -345,7 +347,9 @@
             shared += self._idle.report_closed(assignment.state.name, at)
         return self._deliver_local(shared, at)
 
-    def _start(self, at: float) -> list[Output]:
+    def _start(self, event: Started) -> list[Output]:
+        at = event.at
+        self._statements.start(event.wall_s - at)
         self._services.start(at)
         self._leadership.start(at)
         # A random phase spreads the reports of the VMs over the interval.
@@ -451,6 +455,8 @@
             case IdleClosed() as closed:
                 broadcasts = self._idle.receive(closed, at)
                 return self._deliver_local(broadcasts, at)
+            case TargetStated() as stated:
+                return self._statements.receive(stated, at)
             case HealthTold() as message:
                 self._health.apply(message, at)
         return []
@@ -477,17 +483,6 @@
         return self._admission.dispatch(state, at) if state else []
 
 
-def _describe_statement(
-    service: ServiceName, target: TargetId, statement: TargetStatement
-) -> WriteLog:
-    fields = {
-        'service': service,
-        'target': target,
-        'max_rate': statement.max_rate,
-    }
-    return WriteLog(logging.INFO, 'target statement changed', fields)
-
-
 def _count_regions(settings: Settings) -> int:
     return max(1, len({region for _, region in settings.places}))
 
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -185,7 +185,7 @@
         if request.deadline_at - self._at < median_s * _TRIAL_DEADLINE_FACTOR:
             return None
         for target in self._state.trial_targets:
-            if not target.in_use:
+            if not target.in_use and target.has_room(self._at):
                 return target
         return None
 
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -79,6 +79,24 @@
             self._rebuild(at)
         return self._eligible
 
+    def pause_s(self, at: float) -> float:
+        """Return the seconds until a target may get the next request.
+
+        Targets without a free slot count as available, because it is unknown
+        when the next slot is freed.
+        """
+        return max(
+            0,
+            min(
+                (
+                    target.resumes_at(at) - at
+                    for group in self.eligible_targets(at)
+                    for target in group
+                ),
+                default=0,
+            ),
+        )
+
     def invalidate(self) -> None:
         """Recompute the eligible targets before their next use."""
         self._eligible_until = -1
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -10,6 +10,7 @@
 from ..core.events import Announcement, TargetState, TargetStatement
 from .health import FailureEstimate
 from .messages import OutcomeRow
+from .rate_limits import RateLimit
 
 _DECAY_S = 10.0
 _LIMIT_DECREASE_FACTOR = 0.7
@@ -95,6 +96,8 @@
         Time until which it is taken for a target that no VM uses.
     statement
         What it says of itself in its latest answer.
+    rate_limit
+        Turns of this VM; None without a limit.
 
     """
 
@@ -122,6 +125,7 @@
     connection_warm_until: float = float('-inf')
     idle_until: float = float('-inf')
     statement: TargetStatement = TargetStatement()
+    rate_limit: RateLimit | None = None
 
     @property
     def usable(self) -> bool:
@@ -169,7 +173,15 @@
 
     def has_room(self, at: float) -> bool:
         """Return whether this VM may start another request there."""
-        return self.in_use < self.limit and at >= self.blocked_until
+        if self.in_use >= self.limit or at < self.blocked_until:
+            return False
+        return self.rate_limit is None or self.rate_limit.has_turn(at)
+
+    def resumes_at(self, at: float) -> float:
+        """Return the time until which its own state delays requests."""
+        if self.rate_limit is None:
+            return self.blocked_until
+        return max(self.blocked_until, self.rate_limit.next_turn(at))
 
     def integrate_use(self, at: float) -> Tally:
         """Add the slot time used since the last call; return the tally."""
