Reject announcements and configurations that can't be passed on

Reported by other operators: an odd entry among those of the targets, deeply nested or with a number out of range, ended the processes that read it again and again. It can happen here, on both interfaces.

Cause: a decoder accepted what the encoder of messages between VMs rejects. A sequence or start time of 2**64 passed, and encoding the message that forwards it raised OverflowError inside an effect, which stops the process; the sender then tries the next control VM. A deeply nested body raised RecursionError, which no handler expected.

Change: one function decodes JSON and reports all of these as invalid input; numbers have bounds; what operators send on our own interface is checked to be encodable.

--- a/src/cranberryseam/configuration/documents.py
+++ b/src/cranberryseam/configuration/documents.py
@@ -50,7 +50,7 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         problem = InvalidInput(source, '(syntax)', str(error), 'valid TOML')
         return Error(InvalidDocument((problem,)))
     reader = _DocumentReader(source)
--- a/src/cranberryseam/serving/announcements.py
+++ b/src/cranberryseam/serving/announcements.py
@@ -15,6 +15,7 @@
 from ..core.effects import AnswerAnnouncement, Effect
 from ..core.errors import Failure, InvalidInput
 from ..core.events import Announcement, Event, TargetAnnounced, TargetState
+from ..core.messages import MAX_INTEGER
 from ..types import ServiceName, TargetId
 from .asgi import (
     LIFESPAN,
@@ -41,7 +42,7 @@
 ]
 _Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 _Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_MAX_COUNT)]
-_Sequence: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+_Sequence: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class AnnouncementBody(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/cranberryseam/serving/documents.py
+++ b/src/cranberryseam/serving/documents.py
@@ -38,13 +38,48 @@
     return Ok(bytes(body))
 
 
+class UnusableBodyError(ValueError):
+    """A body that can't be decoded, or not be encoded for other VMs."""
+
+
+def decode_json(raw: bytes, body_type: type[_Body]) -> _Body:
+    """Decode a JSON body to a value of a type.
+
+    Raises
+    ------
+    UnusableBodyError
+        If the body is not JSON of this type, or nested too deeply.
+
+    """
+    try:
+        return msgspec.json.decode(raw, type=body_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise UnusableBodyError(str(error)) from error
+
+
+def check_encodable(decoded: object) -> None:
+    """Check that a value can be sent to other VMs and stored.
+
+    Raises
+    ------
+    UnusableBodyError
+        If it contains an integer of more than 64 bits.
+
+    """
+    try:
+        msgspec.msgpack.encode(decoded)
+    except OverflowError as error:
+        raise UnusableBodyError(str(error)) from error
+
+
 def decode_document(
     raw: bytes, body_type: type[_Body]
 ) -> Result[_Body, Failure]:
-    """Decode a JSON body to a value of a type."""
+    """Decode a JSON body to a value that can be sent to other VMs."""
     try:
-        decoded = msgspec.json.decode(raw, type=body_type)
-    except msgspec.MsgspecError as error:
+        decoded = decode_json(raw, body_type)
+        check_encodable(decoded)
+    except UnusableBodyError as error:
         return Error(
             InvalidInput(
                 _SOURCE, '', str(error), f'JSON of {body_type.__name__}'
@@ -53,4 +88,10 @@
     return Ok(decoded)
 
 
-__all__ = ('decode_document', 'read_document')
+__all__ = (
+    'UnusableBodyError',
+    'check_encodable',
+    'decode_document',
+    'decode_json',
+    'read_document',
+)
--- a/tests/configuration/test_files.py
+++ b/tests/configuration/test_files.py
@@ -68,6 +68,12 @@
         keys = [problem.key for problem in parsed.error.problems]
         self.assertIn(key, keys)
 
+    def test_deeply_nested(self) -> None:
+        """Guards against an exception in place of an error message."""
+        nested = 'regions = {}{}'.format('[' * 50_000, ']' * 50_000)
+        parsed = parse_settings('s', nested)
+        self.assertEqual(parsed.error.problems[0].key, '(syntax)')
+
     def test_missing_file(self) -> None:
         parsed = load_settings('/nonexistent/settings.toml')
         self.assertEqual(parsed.error.problems[0].key, '(file)')
