Obey targets that say that they leave or want a pause

Cause: of what a target says in its answers nothing but the rate limit was read. Retry-After of a 503 went to a caller who was refused, and the next request to the same target.

Change: the head of an answer is decoded once into a statement: rate limit, leaving (Server-Leaving on the platform, Cranberryseam-Leaving on our own interface), and the pause of a 503 with Retry-After. Repeated or unreadable values are ignored, counted and logged with the target. A VM gives a target that leaves no new requests, whichever way it is chosen, unless all targets of the service leave, and then for one second; the first VM informs the others through the leader. A pause holds for the VM that was rejected. A later start of the target ends both. If no target can be used before the latest start of a request, it is refused at once with the time until one can. The headers don't reach callers.

--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -212,10 +212,19 @@
     max_rate
         Requests per second that it takes from all VMs together; None without
         a limit.
+    leaving
+        Whether it is about to leave and takes no more requests.
+    pause_s
+        Seconds for which it wants no requests of this VM.
+    is_valid
+        False if a part of the statement couldn't be read and is missing here.
 
     """
 
     max_rate: float | None = None
+    leaving: bool = False
+    pause_s: float = 0
+    is_valid: bool = True
 
 
 @attrs.frozen
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -61,10 +61,11 @@
             target = Selection(state, request, at, self._rng).choose()
             if target is not None:
                 return [self._assign(state, request, target, at)]
-        wait_s = max(
-            lane.wait_s(lane.queue.count_ahead(request)),
-            state.pause_s(at),
-        )
+        pause_s = state.pause_s(at)
+        if at + pause_s > start_by:
+            reason = RefusalReason.target_overloaded
+            return [_deny(at, request, reason, pause_s)]
+        wait_s = lane.wait_s(lane.queue.count_ahead(request))
         if at + wait_s > start_by:
             reason = RefusalReason.deadline_too_short
             return [_deny(at, request, reason, wait_s)]
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -167,12 +167,18 @@
     max_rate
         Requests per second that it takes from all VMs together; None without
         a limit.
+    leaving
+        Whether it is about to leave.
+    born_ms
+        Start of the target that says so; 0 if unknown.
 
     """
 
     service: str
     target: str
     max_rate: float | None
+    leaving: bool = False
+    born_ms: int = 0
 
 
 MESSAGES: tuple[type[Message], ...] = (
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -31,6 +31,9 @@
 _OTHER_REGION_EXTRA_S = 0.06
 _DEFAULT_FLOOR = 0.5
 _NEVER = math.inf
+# Less than the time that a target goes on to serve after it has said that it
+# is leaving.
+_LEAVING_USE_S = 1.0
 
 
 class ServiceState:
@@ -150,9 +153,7 @@
                 self.ejected.update(limit_to_floor(ejected, known, self.floor))
         eligible_targets: tuple[list[Target], ...] = ([], [], [])
         trial_targets = []
-        for name, target in self.targets.items():
-            if not target.usable:
-                continue
+        for name, target in self._list_usable(at):
             row = self.ejected.get(name)
             if row is None:
                 eligible_targets[target.distance].append(target)
@@ -164,6 +165,29 @@
             [*eligible_targets[0], *eligible_targets[1]]
         )
 
+    def _list_usable(self, at: float) -> list[tuple[TargetId, Target]]:
+        """Return the usable targets.
+
+        Those that are leaving are only used if there are no others, and only
+        for a short time.
+        """
+        usable = [pair for pair in self.targets.items() if pair[1].usable]
+        staying = [pair for pair in usable if pair[1].leaving_since == math.inf]
+        if staying or not usable:
+            return staying
+        last_use_at = [
+            target.leaving_since + _LEAVING_USE_S for _, target in usable
+        ]
+        self._eligible_until = min(
+            (until for until in last_use_at if until > at),
+            default=self._eligible_until,
+        )
+        return [
+            pair
+            for pair in usable
+            if at < pair[1].leaving_since + _LEAVING_USE_S
+        ]
+
     def _announcements(
         self, region: str
     ) -> Iterator[tuple[Announcement, bool]]:
--- a/src/cranberryseam/routing/services.py
+++ b/src/cranberryseam/routing/services.py
@@ -88,6 +88,8 @@
             target = self._create_target(announcement, at)
             state.targets[announcement.target] = target
             self._health.add_target(target)
+        if announcement.born_ms > target.announcement.born_ms:
+            target.start_again()
         was_cold = target.cold or target.silent
         target.announcement = announcement
         target.silent = silent
--- a/src/cranberryseam/routing/statements.py
+++ b/src/cranberryseam/routing/statements.py
@@ -10,7 +10,9 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..core.effects import SendMessage, WriteLog
+import attrs
+
+from ..core.effects import IncrementCounter, SendMessage, WriteLog
 from ..core.events import TargetStatement
 from ..types import TargetId
 from .leadership import shard_key
@@ -27,6 +29,7 @@
 
 # Limits up to this fraction apart are not worth a message to all VMs.
 _MINOR_CHANGE = 0.1
+_MAX_PAUSE_S = 3600.0
 # The VMs that miss a statement get it with their own next answer.
 _BROADCAST_INTERVAL_S = 1.0
 
@@ -90,26 +93,43 @@
     ) -> list[Output]:
         """Apply a statement; report a new one to the leader."""
         target = self._find_target(service, name)
-        if target is None or statement == target.statement:
+        if target is None:
             return []
-        is_minor = _is_minor_change(target.statement, statement)
-        outputs: list[Output] = [self._apply(service, target, statement, at)]
-        if is_minor:
+        outputs: list[Output] = []
+        if not statement.is_valid:
+            outputs += _report_invalid(service, name)
+        if statement.pause_s:
+            outputs.append(_pause(service, target, statement.pause_s, at))
+        lasting = attrs.evolve(statement, pause_s=0, is_valid=True)
+        if target.leaving_since < math.inf:
+            # A target that leaves doesn't come back before its next start.
+            lasting = attrs.evolve(lasting, leaving=True)
+        if lasting == target.statement:
             return outputs
+        is_minor = _is_minor_change(target.statement, lasting)
+        outputs.append(self._apply(service, target, lasting, at))
         leader = self._leaders.leader_of(self._region, shard_key(service))
-        if leader is not None:
-            stated = TargetStated(service, name, statement.max_rate)
-            outputs.append(SendMessage(leader, stated))
-        return outputs
+        if leader is None or is_minor:
+            return outputs
+        stated = TargetStated(
+            service,
+            name,
+            lasting.max_rate,
+            lasting.leaving,
+            target.announcement.born_ms,
+        )
+        return [*outputs, SendMessage(leader, stated)]
 
     def receive(self, stated: TargetStated, at: float) -> list[Output]:
         """Apply a statement that another VM has got; as leader, pass it on."""
         outputs: list[Output] = []
         service = stated.service
-        statement = TargetStatement(stated.max_rate)
         target = self._find_target(service, TargetId(stated.target))
-        if target is not None and target.statement != statement:
-            outputs.append(self._apply(service, target, statement, at))
+        if target and target.announcement.born_ms == stated.born_ms:
+            leaving = stated.leaving or target.statement.leaving
+            statement = TargetStatement(stated.max_rate, leaving)
+            if target.statement != statement:
+                outputs.append(self._apply(service, target, statement, at))
         if self._is_broadcast_due(stated, at):
             others = sorted(self._vms - {self._vm})
             outputs += [SendMessage(vm, stated) for vm in others]
@@ -134,19 +154,27 @@
         at: float,
     ) -> Output:
         target.statement = statement
-        max_rate = statement.max_rate
+        self._limit(target, statement.max_rate, at)
+        if statement.leaving and target.leaving_since == math.inf:
+            target.leaving_since = at
+            state = self._services.find(service)
+            if state is not None:
+                state.invalidate()
+        fields = {
+            'service': service,
+            'target': target.announcement.target,
+            'max_rate': statement.max_rate,
+            'leaving': statement.leaving,
+        }
+        return WriteLog(logging.INFO, 'target statement changed', fields)
+
+    def _limit(self, target: Target, max_rate: float | None, at: float) -> None:
         if max_rate is None:
             target.rate_limit = None
         elif target.rate_limit is None:
             target.rate_limit = RateLimit(max_rate, at, self._schedule)
         else:
             target.rate_limit.max_rate = max_rate
-        fields = {
-            'service': service,
-            'target': target.announcement.target,
-            'max_rate': max_rate,
-        }
-        return WriteLog(logging.INFO, 'target statement changed', fields)
 
     def _find_target(self, service: str, name: TargetId) -> Target | None:
         state = self._services.find(service)
@@ -162,8 +190,31 @@
 def _is_minor_change(before: TargetStatement, after: TargetStatement) -> bool:
     if before.max_rate is None or after.max_rate is None:
         return False
+    if before.leaving != after.leaving:
+        return False
     difference = abs(before.max_rate - after.max_rate)
     return difference <= _MINOR_CHANGE * before.max_rate
 
 
+def _pause(
+    service: ServiceName, target: Target, pause_s: float, at: float
+) -> WriteLog:
+    until = at + min(pause_s, _MAX_PAUSE_S)
+    target.paused_until = max(target.paused_until, until)
+    fields = {
+        'service': service,
+        'target': target.announcement.target,
+        'pause_s': pause_s,
+    }
+    return WriteLog(logging.INFO, 'target wants a pause', fields)
+
+
+def _report_invalid(service: ServiceName, name: TargetId) -> list[Output]:
+    fields = {'service': service, 'target': name}
+    return [
+        IncrementCounter('routing.invalid_statements'),
+        WriteLog(logging.WARNING, 'invalid statement of a target', fields),
+    ]
+
+
 __all__ = ('StatementSharing',)
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 import attrs
@@ -98,6 +99,10 @@
         What it says of itself in its latest answer.
     rate_limit
         Turns of this VM; None without a limit.
+    leaving_since
+        Time at which this VM learned that it leaves; infinite if it doesn't.
+    paused_until
+        Time until which it wants no requests of this VM.
 
     """
 
@@ -126,6 +131,8 @@
     idle_until: float = float('-inf')
     statement: TargetStatement = TargetStatement()
     rate_limit: RateLimit | None = None
+    leaving_since: float = math.inf
+    paused_until: float = float('-inf')
 
     @property
     def usable(self) -> bool:
@@ -173,15 +180,24 @@
 
     def has_room(self, at: float) -> bool:
         """Return whether this VM may start another request there."""
-        if self.in_use >= self.limit or at < self.blocked_until:
+        blocked_until = max(self.blocked_until, self.paused_until)
+        if self.in_use >= self.limit or at < blocked_until:
             return False
         return self.rate_limit is None or self.rate_limit.has_turn(at)
 
     def resumes_at(self, at: float) -> float:
         """Return the time until which its own state delays requests."""
+        resumes_at = max(self.blocked_until, self.paused_until)
         if self.rate_limit is None:
-            return self.blocked_until
-        return max(self.blocked_until, self.rate_limit.next_turn(at))
+            return resumes_at
+        return max(resumes_at, self.rate_limit.next_turn(at))
+
+    def start_again(self) -> None:
+        """Forget what an earlier start of the target said of itself."""
+        self.statement = TargetStatement()
+        self.rate_limit = None
+        self.leaving_since = math.inf
+        self.paused_until = -math.inf
 
     def integrate_use(self, at: float) -> Tally:
         """Add the slot time used since the last call; return the tally."""
--- a/src/cranberryseam/serving/dialect.py
+++ b/src/cranberryseam/serving/dialect.py
@@ -50,6 +50,8 @@
         without it was not sent by the target.
     rate_limit_header
         Requests per second that a target takes from all VMs together.
+    leaving_header
+        1 if the target is about to leave.
     preserve_host
         Whether targets get the caller's ``Host``.
     accept_close_delimited
@@ -75,6 +77,7 @@
     not_run_statuses: frozenset[int] = _SHEDDING
     authenticity_header: bytes = b''
     rate_limit_header: bytes = b'cranberryseam-rate-limit'
+    leaving_header: bytes = b'cranberryseam-leaving'
     preserve_host: bool = False
     accept_close_delimited: bool = False
     fractional_retry_after: bool = False
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-import calendar
-import logging
-import re
-import time
 from collections.abc import AsyncIterator
-from email.utils import parsedate
 from http import HTTPStatus
 
 import attrs
@@ -22,18 +17,21 @@
     TRANSFER_ENCODING,
     select_response_headers,
 )
+from .statements import (
+    RETRY_AFTER,
+    parse_retry_after,
+    read_statement,
+    remove_statement,
+)
 
 # Buffered before the response is reported to the reducer, so that another
 # attempt can replace a response that fails early.
 BUFFERED_BYTES = 65_536
 # Largest body of a response that is stored for repeated requests.
 MAX_STORED_BYTES = 16_384
-_RETRY_AFTER = b'retry-after'
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
 _CONTENT_ENCODING = b'content-encoding'
-_DECIMAL = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
-_log = logging.getLogger(__name__)
 _MIN_FINAL_STATUS = 200
 _MAX_STATUS = 599
 
@@ -52,6 +50,8 @@
         True if the whole body is buffered.
     delimited
         False if the response ends where its connection is closed.
+    statement
+        What the target says of itself.
 
     """
 
@@ -62,6 +62,7 @@
     buffered: bytes = b''
     complete: bool = False
     delimited: bool = True
+    statement: TargetStatement = TargetStatement()
 
     @property
     def not_run(self) -> bool:
@@ -91,30 +92,16 @@
     def retry_after_s(self) -> float | None:
         """Value of ``Retry-After`` in seconds, None without a valid one."""
         for name, value in self.headers:
-            if name == _RETRY_AFTER:
+            if name == RETRY_AFTER:
                 return parse_retry_after(value)
         return None
 
-    @property
-    def statement(self) -> TargetStatement:
-        """What the target says of itself; invalid values are ignored."""
-        return TargetStatement(self._find_max_rate())
-
     def store(self) -> StoredAnswer | None:
         """Return the response for storage, None if it is too large."""
         if not self.complete or len(self.buffered) > MAX_STORED_BYTES:
             return None
         return StoredAnswer(self.status, tuple(self.headers), self.buffered)
 
-    def _find_max_rate(self) -> float | None:
-        for name, value in self.headers:
-            if name == self.dialect.rate_limit_header:
-                rate = parse_decimal(value)
-                if rate is None:
-                    _log.warning('invalid rate limit of a target: %r', value)
-                return rate
-        return None
-
 
 def open_response(
     http_response: httpx.Response,
@@ -152,9 +139,13 @@
     headers = select_response_headers(raw)
     if not _is_authentic(status, headers, dialect, caller_request_id):
         return None
-    chunks = aiter(http_response.stream)
     return TargetResponse(
-        status, headers, chunks, dialect, delimited=not close_delimited
+        status,
+        remove_statement(headers, dialect),
+        aiter(http_response.stream),
+        dialect,
+        delimited=not close_delimited,
+        statement=read_statement(status, headers, dialect),
     )
 
 
@@ -194,23 +185,6 @@
         response.headers.append((CONTENT_LENGTH, length))
 
 
-def parse_decimal(value: bytes) -> float | None:
-    """Parse a decimal number without a sign, None if it is invalid."""
-    text = value.decode('latin-1').strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
-
-
-def parse_retry_after(value: bytes) -> float | None:
-    """Parse a ``Retry-After`` value to seconds, None if it is invalid."""
-    seconds = parse_decimal(value)
-    if seconds is not None:
-        return seconds
-    parsed_date = parsedate(value.decode('latin-1'))
-    if parsed_date is None:
-        return None
-    return max(0, calendar.timegm(parsed_date) - time.time())
-
-
 def _is_chunked_only(raw: HeaderList) -> bool:
     encodings = [
         value.lower()
@@ -225,7 +199,5 @@
     'MAX_STORED_BYTES',
     'TargetResponse',
     'open_response',
-    'parse_decimal',
-    'parse_retry_after',
     'read_buffered_part',
 )
--- a/tests/serving/test_problems.py
+++ b/tests/serving/test_problems.py
@@ -14,7 +14,7 @@
     select_response_headers,
 )
 from cranberryseam.serving.problems import PROBLEM_TYPES
-from cranberryseam.serving.responses import parse_retry_after
+from cranberryseam.serving.statements import parse_retry_after
 
 
 class RenderingTest(testtools.TestCase):
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -9,18 +9,15 @@
 from cranberryseam.core.events import TargetStatement
 from cranberryseam.serving.asgi import HeaderList
 from cranberryseam.serving.dialect import DEFAULT_DIALECT, Dialect
-from cranberryseam.serving.responses import TargetResponse
+from cranberryseam.serving.statements import read_statement, remove_statement
 
 _DIALECTS = (('own', DEFAULT_DIALECT), ('platform', DIALECT))
 
 
-async def _no_chunks():
-    for chunk in ():
-        yield chunk
-
-
-def _read(dialect: Dialect, headers: HeaderList) -> TargetStatement:
-    return TargetResponse(200, headers, _no_chunks(), dialect).statement
+def _read(
+    dialect: Dialect, headers: HeaderList, status: int = 200
+) -> TargetStatement:
+    return read_statement(status, headers, dialect)
 
 
 class StatementTest(TestCase):
@@ -49,9 +46,81 @@
         invalid one that ends a request.
         """
         headers = [(dialect.rate_limit_header, value)]
-        self.assertEqual(_read(dialect, headers).max_rate, max_rate)
+        statement = _read(dialect, headers)
+        self.assertEqual(statement.max_rate, max_rate)
+        self.assertEqual(statement.is_valid, max_rate is not None)
 
     @parameterized.expand(_DIALECTS)
     def test_nothing_stated(self, _: str, dialect: Dialect) -> None:
         """Guards against a limit that outlasts the answers that state it."""
         self.assertEqual(_read(dialect, []), TargetStatement())
+
+    @parameterized.expand(
+        [
+            (name, dialect, value, leaving, is_valid)
+            for name, dialect in _DIALECTS
+            for value, leaving, is_valid in (
+                (b'1', True, True),
+                (b'0', False, True),
+                (b'yes', False, False),
+                (b'', False, False),
+            )
+        ]
+    )
+    def test_leaving(
+        self,
+        _: str,
+        dialect: Dialect,
+        value: bytes,
+        leaving: bool,
+        is_valid: bool,
+    ) -> None:
+        """Guards against a target whose departure is not read."""
+        statement = _read(dialect, [(dialect.leaving_header, value)])
+        self.assertEqual(
+            (statement.leaving, statement.is_valid), (leaving, is_valid)
+        )
+
+    @parameterized.expand(
+        [
+            (name, dialect, status, value, pause_s)
+            for name, dialect in _DIALECTS
+            for status, value, pause_s in (
+                (503, b'2', 2),
+                (503, b'0.5', 0.5),
+                (503, b'-2', 0),
+                (503, b'soon', 0),
+                (429, b'2', 0),
+                (200, b'2', 0),
+            )
+        ]
+    )
+    def test_pause(
+        self,
+        _: str,
+        dialect: Dialect,
+        status: int,
+        value: bytes,
+        pause_s: float,
+    ) -> None:
+        """Guards against a pause that is not read, or read where none is."""
+        statement = _read(dialect, [(b'retry-after', value)], status)
+        self.assertEqual(statement.pause_s, pause_s)
+
+    @parameterized.expand(_DIALECTS)
+    def test_repeated(self, _: str, dialect: Dialect) -> None:
+        """Guards against one of two contradicting values."""
+        names = (dialect.rate_limit_header, dialect.leaving_header)
+        headers = [(name, b'1') for name in names for _ in range(2)]
+        statement = _read(dialect, headers)
+        self.assertEqual(
+            statement, TargetStatement(None, False, 0, is_valid=False)
+        )
+
+    @parameterized.expand(_DIALECTS)
+    def test_callers_get_no_statement(self, _: str, dialect: Dialect) -> None:
+        """Guards against headers for this fleet that reach the callers."""
+        kept = (b'content-type', b'text/plain')
+        headers = [(dialect.rate_limit_header, b'1'), kept]
+        headers.append((dialect.leaving_header, b'1'))
+        self.assertEqual(remove_statement(headers, dialect), [kept])
