Require the request id in successful responses of the platform's targets

Suspected cause: a response without Request-Id passed for one to the current request, and one with two ids if the last fitted. Targets of the platform echo the id; those that hand out wrong bytes may send a second response, or one without it.

Change: a success needs the id, and all ids must be that of the request.

--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -153,14 +153,16 @@
     status: int, headers: HeaderList, dialect: Dialect, caller_request_id: bytes
 ) -> bool:
     fields = dict(headers)
-    if (
-        caller_request_id
-        and fields.get(dialect.request_id_header, caller_request_id)
-        != caller_request_id
-    ):
+    request_ids = [
+        value for name, value in headers if name == dialect.request_id_header
+    ]
+    if caller_request_id and set(request_ids) - {caller_request_id}:
         return False
     if not dialect.authenticity_header or status >= HTTPStatus.MULTIPLE_CHOICES:
         return True
+    # A late response without an identifier may belong to another request.
+    if caller_request_id and not request_ids:
+        return False
     # A content encoding was added by an intermediary, not by the target.
     return (
         dialect.authenticity_header in fields
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -83,6 +83,13 @@
                 ),
                 False,
             ),
+            ('without an id', (200, _SEAL, _LENGTH), False),
+            (
+                'with two ids',
+                (200, _SEAL, _LENGTH, _OTHER_REQUEST_ID, _REQUEST_ID),
+                False,
+            ),
+            ('failure without an id', (500, _LENGTH), True),
             ('ends with its connection', (200, _SEAL, _REQUEST_ID), True),
             ('failure without seal', (500, _LENGTH, _REQUEST_ID), True),
         ]
