Remove the part of a refused batch from the control log before a retry

Reported by other operators: disks were full one after another, and long after the last had room again, changes were refused or stayed unanswered.

Found while looking: if a write stored a part of a batch and the truncation after it failed as well, the retry appended behind that part.

Change: the storage remembers the length of the valid log and truncates to it before each batch.

--- a/src/cranberryseam/control/storage.py
+++ b/src/cranberryseam/control/storage.py
@@ -81,6 +81,8 @@
         self._folder = folder
         self._folder_fd = os.open(folder, os.O_RDONLY)
         self._log_fd = -1
+        # Length of the log without a batch that was refused halfway.
+        self._log_bytes = 0
 
     def close(self) -> None:
         """Close the files."""
@@ -187,23 +189,23 @@
         self._open_log()
         os.ftruncate(self._log_fd, frames.valid_bytes)
         os.fsync(self._log_fd)
+        self._log_bytes = frames.valid_bytes
         return [_decode(content, _Batch, path) for content in frames.payloads]
 
     def _open_log(self) -> None:
         if self._log_fd >= 0:
             os.close(self._log_fd)
         self._log_fd = os.open(self._folder / _LOG, os.O_WRONLY | os.O_APPEND)
+        self._log_bytes = os.fstat(self._log_fd).st_size
 
     def _append(self, batch: _Batch) -> None:
-        size_before = os.fstat(self._log_fd).st_size
-        try:
-            _write_all(self._log_fd, _encode(batch))
-            os.fsync(self._log_fd)
-        except OSError:
-            # Remove a partially written batch, so that a retry doesn't append
-            # after it.
-            os.ftruncate(self._log_fd, size_before)
-            raise
+        content = _encode(batch)
+        if os.fstat(self._log_fd).st_size != self._log_bytes:
+            # A part of a batch that was refused; the next one would follow it.
+            os.ftruncate(self._log_fd, self._log_bytes)
+        _write_all(self._log_fd, content)
+        os.fsync(self._log_fd)
+        self._log_bytes += len(content)
 
     def _save_snapshot(self, effect: SaveSnapshot) -> None:
         self._replace_file('snapshot', _encode(effect.snapshot))
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import os
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
+from unittest import mock
 
 import testtools
 from expression import Result
@@ -62,6 +67,30 @@
 )
 
 
+@contextlib.contextmanager
+def _full_disk(call: str, number: int) -> Iterator[None]:
+    """Refuse writes after a part of the first one, and other calls.
+
+    Parameters
+    ----------
+    call
+        Call that is refused beside writes.
+    number
+        Bytes of the first write that reach the disk.
+
+    """
+    original_write = os.write
+
+    def write(file_fd: int, content: bytes) -> int:
+        original_write(file_fd, content[:number])
+        raise OSError(errno.ENOSPC, 'no space left on the disk')
+
+    refused = OSError(errno.ENOSPC, 'no space left on the disk')
+    with mock.patch.object(os, 'write', write):
+        with mock.patch.object(os, call, side_effect=refused):
+            yield
+
+
 class StorageTest(testtools.TestCase):
     """Guards against lost or invalid records after a crash."""
 
@@ -144,6 +173,28 @@
         self.execute(EFFECTS[8])
         self.assertEqual(self.load().ok.records, EFFECTS[8].records)
 
+    @parameterized.expand(
+        [
+            (f'{call} {number}', call, number)
+            for call in ('write', 'ftruncate', 'fsync', 'rename')
+            for number in range(3)
+        ]
+    )
+    def test_refused_writes(self, _: str, call: str, number: int) -> None:
+        """Guards against a part of a refused batch that stays in the log,
+        where it hides the records that follow it.
+        """
+        expected = StoredState(self.load().ok.disk)
+        with open_storage(self.folder) as opened:
+            opened.ok.load()
+            for effect in EFFECTS:
+                with _full_disk(call, number):
+                    with contextlib.suppress(OSError):
+                        opened.ok.execute(effect)
+                opened.ok.execute(effect)
+                expected = write_disk(expected, effect)
+        self.assertEqual(self.load().ok, expected)
+
     def test_two_processes(self) -> None:
         with open_storage(self.folder), open_storage(self.folder) as second:
             self.assertIsInstance(second.error, FolderInUse)
