--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -86,9 +86,11 @@
         raise OSError(errno.ENOSPC, 'no space left on the disk')
 
     refused = OSError(errno.ENOSPC, 'no space left on the disk')
-    with mock.patch.object(os, 'write', write):
-        with mock.patch.object(os, call, side_effect=refused):
-            yield
+    with (
+        mock.patch.object(os, 'write', write),
+        mock.patch.object(os, call, side_effect=refused),
+    ):
+        yield
 
 
 class StorageTest(testtools.TestCase):
@@ -188,9 +190,11 @@
         with open_storage(self.folder) as opened:
             opened.ok.load()
             for effect in EFFECTS:
-                with _full_disk(call, number):
-                    with contextlib.suppress(OSError):
-                        opened.ok.execute(effect)
+                with (
+                    _full_disk(call, number),
+                    contextlib.suppress(OSError),
+                ):
+                    opened.ok.execute(effect)
                 opened.ok.execute(effect)
                 expected = write_disk(expected, effect)
         self.assertEqual(self.load().ok, expected)
