Forget VMs that have left, and keep the end of ejections with leaving targets

Found when reading the diff. The log of contacts kept each VM that ever polled a leader, and its silence, for the whole term, so each refill of a bucket added up ever more of them in a fleet whose VMs are replaced. It now forgets a VM 10 s after its last message, when its shares have expired.

A service whose targets all leave replaced the time until which its list of targets holds, so an ejection could last up to a second longer.

--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -384,6 +384,7 @@
         outputs.append(SetTimer(COMPONENT, _TIMER, at + _SWEEP_INTERVAL_S))
         if self._find_leader_status(at) is not None:
             self._table.sweep(at)
+            self._contacts.forget_lost(at)
         return outputs
 
 
--- a/src/cranberryseam/ownership/contacts.py
+++ b/src/cranberryseam/ownership/contacts.py
@@ -68,6 +68,7 @@
     def __init__(self) -> None:
         """Start without any VM."""
         self._heard: dict[VmId, float] = {}
+        self._recorded_at: dict[VmId, float] = {}
         self._by_age: list[tuple[float, VmId]] = []
         self._current: dict[VmId, Silence] = {}
         self._ended: deque[Silence] = deque()
@@ -87,6 +88,7 @@
 
         """
         self._advance(at)
+        self._recorded_at[vm] = at
         if at - answered_at > SILENT_AFTER_S:
             self._heard[vm] = answered_at
             self._current.setdefault(vm, Silence(vm, at, math.inf))
@@ -99,14 +101,17 @@
         if ended is not None:
             self._ended.append(attrs.evolve(ended, until=at))
 
-    def forget(self, vm: VmId) -> None:
-        """Remove a VM that has left."""
-        self._heard.pop(vm, None)
-        self._current.pop(vm, None)
+    def forget_lost(self, at: float) -> None:
+        """Remove the VMs without a message for longer than shares last."""
+        for vm in tuple(self._current):
+            if at - self._recorded_at[vm] > _MEMORY_S:
+                for state in (self._heard, self._recorded_at, self._current):
+                    state.pop(vm, None)
 
     def clear(self) -> None:
         """Forget all VMs, at the start of a new term."""
         self._heard.clear()
+        self._recorded_at.clear()
         self._by_age.clear()
         self._current.clear()
         self._ended.clear()
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -175,18 +175,16 @@
         staying = [pair for pair in usable if pair[1].leaving_since == math.inf]
         if staying or not usable:
             return staying
-        last_use_at = [
-            target.leaving_since + _LEAVING_USE_S for _, target in usable
-        ]
-        self._eligible_until = min(
-            (until for until in last_use_at if until > at),
-            default=self._eligible_until,
-        )
-        return [
+        still_used = [
             pair
             for pair in usable
             if at < pair[1].leaving_since + _LEAVING_USE_S
         ]
+        for _, target in still_used:
+            self._eligible_until = min(
+                self._eligible_until, target.leaving_since + _LEAVING_USE_S
+            )
+        return still_used
 
     def _announcements(
         self, region: str
--- a/tests/ownership/test_contacts.py
+++ b/tests/ownership/test_contacts.py
@@ -72,3 +72,22 @@
         self.assertAlmostEqual(
             _silent_s(contacts, 0, 6), 5 - SILENT_AFTER_S, _PRECISION
         )
+
+    @parameterized.expand([('soon', 9.0, 2), ('later', 12.0, 1)])
+    def test_lost_vm(self, _: str, at: float, vms: int) -> None:
+        """Guards against VMs that left and are counted for ever."""
+        contacts = ContactLog()
+        contacts.record(VM, 1, 1)
+        contacts.record(VmId('e2'), 8, 8)
+        contacts.list_silences(0, at)
+        contacts.forget_lost(at)
+        self.assertEqual(len(contacts), vms)
+
+    def test_vm_without_replies_is_kept(self) -> None:
+        """Guards against a silence that begins anew with each poll."""
+        contacts = ContactLog()
+        contacts.record(VM, 1, 1)
+        for second in range(2, 30):
+            contacts.record(VM, second, 1)
+            contacts.forget_lost(second)
+        self.assertEqual(len(contacts.list_silences(0, 30)), 1)
