--- a/tests/limits/test_owner_change.py
+++ b/tests/limits/test_owner_change.py
@@ -41,14 +41,26 @@
 TOLERANCE = LimitSettings(early_share=0.5, early_tokens=4)
 ELECTED_AT_S = 100.0
 TERM = 1
-# Start of an outage; the last contact was half a polling interval before.
+# Start of an outage.
 OUTAGE_AT_S = 10.0
 STEP_S = 0.05
 _SEEDS = 40
 
 
 class _OwnersStub:
-    """Stub in which this VM has just become the owner of all buckets."""
+    """Stub in which this VM has just become the owner of all buckets.
+
+    Parameters
+    ----------
+    contact_at
+        Time of the last contact with the owner.
+
+    """
+
+    def __init__(
+        self, contact_at: float = OUTAGE_AT_S - POLL_INTERVAL_S / 2
+    ) -> None:
+        self._contact = OwnerContact(TERM, contact_at)
 
     def group_of(self, region: str, shard_key: str) -> str:
         return 'control'
@@ -63,7 +75,7 @@
         return 1 / VMS
 
     def last_contact(self) -> OwnerContact:
-        return OwnerContact(TERM, OUTAGE_AT_S - POLL_INTERVAL_S / 2)
+        return self._contact
 
 
 def _configure(rate: float = RATE) -> Configuration:
@@ -81,6 +93,18 @@
     return attrs.evolve(settings, limits=limits)
 
 
+def _draw_arrivals(
+    rate: float, outage_s: float, rng: random.Random
+) -> list[float]:
+    """Return the times of the requests at one VM during an outage."""
+    arrivals = []
+    at = OUTAGE_AT_S
+    until = OUTAGE_AT_S + outage_s
+    while rate and (at := at + rng.expovariate(rate)) < until:
+        arrivals.append(at)
+    return arrivals
+
+
 class EarlyTokensTest(TestCase):
     """A new owner that doesn't know the leases of the previous one."""
 
@@ -224,28 +248,41 @@
             share = RateShare(TERM, assigned, unassigned)
             fallback.receive_share('asha', share, expires_at)
 
-    def _serve(self, vm_rates: list[float], outage_s: float, seed: int) -> int:
-        """Return the number of requests served without an owner."""
-        configuration = _configure()
-        rng = random.Random(seed)
-        served = 0
+    def _build_fallbacks(
+        self, vm_rates: list[float], owners: _OwnersStub, rng: random.Random
+    ) -> list[FallbackTokens]:
+        """Return the VMs of an account that they served before an outage."""
         fallbacks = []
         for rate in vm_rates:
-            fallback = FallbackTokens(_settings(TOLERANCE), _OwnersStub(), rng)
+            fallback = FallbackTokens(_settings(TOLERANCE), owners, rng)
             fallbacks.append(fallback)
             at = 0.0
             while rate and (at := at + rng.expovariate(rate)) < OUTAGE_AT_S:
                 fallback.record_use('asha', at)
-        self._assign(fallbacks, configuration)
-        for rate, fallback in zip(vm_rates, fallbacks, strict=True):
-            at = OUTAGE_AT_S
-            arrivals = []
-            while rate and (at := at + rng.expovariate(rate)) < (
-                OUTAGE_AT_S + outage_s
-            ):
-                arrivals.append(at)
-            served += self._serve_waiting(fallback, configuration, arrivals)
-        return served
+        self._assign(fallbacks, _configure())
+        return fallbacks
+
+    def _serve_at_once(self, vm_rates: list[float], outage_s: float) -> int:
+        """Return the number of requests served without an owner or a wait."""
+        rng = random.Random(len(vm_rates))
+        owners = _OwnersStub(OUTAGE_AT_S)
+        fallbacks = self._build_fallbacks(vm_rates, owners, rng)
+        return sum(
+            fallback.take(_configure(), 'asha', at)
+            for rate, fallback in zip(vm_rates, fallbacks, strict=True)
+            for at in _draw_arrivals(rate, outage_s, rng)
+        )
+
+    def _serve(self, vm_rates: list[float], outage_s: float, seed: int) -> int:
+        """Return the number of requests served without an owner."""
+        rng = random.Random(seed)
+        fallbacks = self._build_fallbacks(vm_rates, _OwnersStub(), rng)
+        return sum(
+            self._serve_waiting(
+                fallback, _configure(), _draw_arrivals(rate, outage_s, rng)
+            )
+            for rate, fallback in zip(vm_rates, fallbacks, strict=True)
+        )
 
     def _serve_waiting(
         self,
@@ -280,6 +317,20 @@
         account whose callers use only a few VMs.
         """
         outage_s = 2.0
+        served = self._serve_at_once(vm_rates, outage_s)
+        self.assertGreater(served, 0.75 * sum(vm_rates) * outage_s)
+
+    @parameterized.expand(
+        [
+            ('evenly', [RATE * 0.8 / VMS] * VMS),
+            ('on a few VMs', [RATE * 0.2] * 4 + [0.0] * 28),
+        ]
+    )
+    def test_waiting_requests(self, _: str, vm_rates: list[float]) -> None:
+        """Guards against requests that wait in vain for a share, with the
+        last contact half a polling interval before the outage.
+        """
+        outage_s = 2.0
         served = sum(
             self._serve(vm_rates, outage_s, seed) for seed in range(_SEEDS)
         )
