Reject bytes beyond a response before a target connection is used again

Cause: the HTTP client doesn't show what it has read beyond a response, and answers of our own interface carry nothing that belongs to one attempt.

Change: target connections have a transport of their own (h11 below the interface of httpx). It reads while it is idle; bytes outside of the current response close the connection. Each request carries an attempt id that targets of our own interface may echo; an answer with another one is refused.

Ruled out: a second parser beside the client (doubles the work per response), and private attributes of the client.

--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -24,7 +24,7 @@
 from .bodies import IncompleteBodyError
 from .connection_pool import ConnectionPool, WriteTrace
 from .dialect import Dialect
-from .pending_requests import PendingRequest, RequestEnd
+from .pending_requests import PendingRequest, RequestEnd, name_attempt
 from .responses import TargetResponse, open_response, read_buffered_part
 
 # Limit for a single step of forwarding; the whole response may take longer.
@@ -152,6 +152,7 @@
             target_request.method,
             dialect,
             self._request.head.caller_request_id,
+            name_attempt(self._effect),
         )
         if response is None:
             return AttemptFailure.answer_invalid
@@ -224,7 +225,7 @@
         if reusable:
             self._context.pool.release(self._connection)
         else:
-            await self._connection.transport.aclose()
+            self._connection.transport.abort()
 
     def _report_response(self, response: TargetResponse) -> None:
         """Report a response to the reducer, whose events call it an answer."""
--- a/src/cranberryseam/serving/connection_pool.py
+++ b/src/cranberryseam/serving/connection_pool.py
@@ -6,18 +6,14 @@
 import functools
 import math
 import re
-import ssl
-from collections.abc import Callable, Iterable, Mapping
-from types import MappingProxyType
-from typing import Any, TypeAlias
+from collections.abc import Callable, Iterable
 
 import attrs
 import httpx
 
 from .asgi import HeaderList
 from .headers import HOST
-
-Address: TypeAlias = tuple[str, int]
+from .target_transport import Address, TargetTransport
 
 # Several round trips between regions. TCP retransmits a lost SYN only after a
 # second; no request was sent by then, so another target is tried sooner.
@@ -33,8 +29,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'(?:^|[ ,])timeout=(\d{1,5})')
 # Above the number of targets of one VM.
 _ADDRESS_CACHE_SIZE = 16_384
-_TIMEOUTS = MappingProxyType({'connect': CONNECT_TIMEOUT_S})
-_FIRST_WRITE_EVENT = 'http11.send_request_headers.started'
 
 
 @attrs.define(eq=False)
@@ -43,10 +37,9 @@
 
     sent: bool = False
 
-    async def __call__(self, name: str, _detail: Mapping[str, Any]) -> None:
-        """Handle a trace event; the one checked for precedes any write."""
-        if name == _FIRST_WRITE_EVENT:
-            self.sent = True
+    def __call__(self) -> None:
+        """Record that the request is about to be written."""
+        self.sent = True
 
 
 @attrs.frozen
@@ -74,7 +67,7 @@
     Parameters
     ----------
     transport
-        Holds at most one connection and replaces it once it is closed.
+        The connection itself.
     reusable_until
         Time until which it may be reused.
     keep_alive_s
@@ -87,7 +80,7 @@
     """
 
     address: Address
-    transport: httpx.AsyncHTTPTransport
+    transport: TargetTransport
     acquired_at: float
     reusable_until: float = 0
     idle_since: float | None = None
@@ -113,6 +106,12 @@
             If no response arrived; see ``trace`` for what was sent.
 
         """
+        if self.idle_since is not None and not (
+            self.transport.is_open and self.transport.is_quiet
+        ):
+            self.transport.abort()
+            self.transport = _open_transport(self.address)
+            self.idle_since = None
         url, host = _build_origin(self.address)
         request = httpx.Request(
             target_request.method,
@@ -124,8 +123,7 @@
             stream=target_request.body,
             extensions={
                 'target': target_request.target,
-                'trace': trace,
-                'timeout': _TIMEOUTS,
+                'on_write': trace,
             },
         )
         response = await self.transport.handle_async_request(request)
@@ -137,8 +135,8 @@
     """Idle connections to targets; the most recently used is reused first.
 
     The pool of the HTTP client checks all its connections several times per
-    request, with a system call each. Here every connection has a transport
-    of its own, so that only a single connection is checked.
+    request, with a system call each, and doesn't show bytes that follow a
+    response.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -146,10 +144,6 @@
         self._clock = clock
         self._idle: dict[Address, list[TargetConnection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
-        self._sweep_task: asyncio.Task[None] | None = None
-        # Targets are reached over plain HTTP. A shared context avoids loading
-        # certificates for each new transport.
-        self._tls_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
     def acquire(
         self, address: Address, max_idle_s: float = math.inf
@@ -163,14 +157,16 @@
 
         """
         now = self._clock()
-        connections = self._idle.get(address)
+        connections = self._idle.get(address, [])
+        while connections and not connections[-1].transport.is_open:
+            connections.pop()
         if connections and _is_usable(connections[-1], max_idle_s, now):
             connection = connections.pop()
             connection.acquired_at = now
             return connection
         # The most recently used connection comes last, so if it is too old, all
         # others are too. ``close_expired`` closes them.
-        return TargetConnection(address, self._open_transport(), now)
+        return TargetConnection(address, _open_transport(address), now)
 
     def was_closed_idle(self, connection: TargetConnection) -> bool:
         """Return whether a request failed on a closed idle connection.
@@ -185,6 +181,8 @@
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection to the pool after a completely read response."""
+        if not connection.transport.is_open:
+            return
         now = self._clock()
         connection.idle_since = now
         connection.reusable_until = now + connection.keep_alive_s
@@ -192,18 +190,20 @@
         if self._sweep_timer is None:
             loop = asyncio.get_running_loop()
             self._sweep_timer = loop.call_later(
-                _DEFAULT_KEEP_ALIVE_S, self._start_sweep
+                _DEFAULT_KEEP_ALIVE_S, self.close_expired
             )
 
-    async def close_expired(self) -> None:
+    def close_expired(self) -> None:
         """Close the connections whose keep-alive time has passed."""
         now = self._clock()
+        self._sweep_timer = None
         expired: list[TargetConnection] = []
         for address, connections in tuple(self._idle.items()):
             remaining = [
                 connection
                 for connection in connections
                 if connection.reusable_until > now
+                and connection.transport.is_open
             ]
             expired.extend(
                 connection
@@ -214,14 +214,14 @@
                 self._idle[address] = remaining
             else:
                 self._idle.pop(address)
-        if self._idle and self._sweep_timer is None:
+        if self._idle:
             loop = asyncio.get_running_loop()
             self._sweep_timer = loop.call_later(
-                _DEFAULT_KEEP_ALIVE_S, self._start_sweep
+                _DEFAULT_KEEP_ALIVE_S, self.close_expired
             )
-        await _close_all(expired)
+        _abort_all(expired)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all idle connections."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
@@ -231,19 +231,11 @@
             for connection in connections
         ]
         self._idle.clear()
-        await _close_all(idle)
+        _abort_all(idle)
 
-    def _start_sweep(self) -> None:
-        self._sweep_timer = None
-        self._sweep_task = asyncio.create_task(self.close_expired())
-
-    def _open_transport(self) -> httpx.AsyncHTTPTransport:
-        return httpx.AsyncHTTPTransport(
-            verify=self._tls_context,
-            trust_env=False,
-            retries=0,
-            limits=httpx.Limits(max_connections=1, max_keepalive_connections=1),
-        )
+
+def _open_transport(address: Address) -> TargetTransport:
+    return TargetTransport(address, CONNECT_TIMEOUT_S)
 
 
 def _is_usable(
@@ -260,10 +252,9 @@
     return httpx.URL(f'http://{authority}/'), authority.encode()
 
 
-async def _close_all(connections: Iterable[TargetConnection]) -> None:
-    await asyncio.gather(
-        *(connection.transport.aclose() for connection in connections)
-    )
+def _abort_all(connections: Iterable[TargetConnection]) -> None:
+    for connection in connections:
+        connection.transport.abort()
 
 
 __all__ = (
--- a/src/cranberryseam/serving/dialect.py
+++ b/src/cranberryseam/serving/dialect.py
@@ -30,6 +30,9 @@
         Milliseconds that the caller is willing to wait.
     request_id_header
         Request identifier chosen by the caller; targets echo it.
+    attempt_id_header
+        Identifier of the attempt, which targets may echo. It tells a late copy
+        of an earlier answer on the same connection from the expected answer.
     idempotency_key_header
         Key under which copies of a request run once.
     authorization_scheme
@@ -67,6 +70,7 @@
     ready_path: bytes = b'/-/ready'
     timeout_header: bytes = b'request-timeout-ms'
     request_id_header: bytes = b''
+    attempt_id_header: bytes = b'cranberryseam-attempt-id'
     idempotency_key_header: bytes = b'idempotency-key'
     authorization_scheme: bytes = b'bearer'
     deadline_header: bytes = b'cranberryseam-deadline-ms'
@@ -89,6 +93,7 @@
         """Headers that the proxy sets itself and never copies from callers."""
         names = (
             self.timeout_header,
+            self.attempt_id_header,
             self.deadline_header,
             self.expected_target_header,
             self.account_header,
--- a/src/cranberryseam/serving/gateway.py
+++ b/src/cranberryseam/serving/gateway.py
@@ -157,7 +157,7 @@
         for attempt in attempts:
             attempt.cancel()
         await asyncio.gather(*(cancelled.wait() for cancelled in attempts))
-        await self._pool.close()
+        self._pool.close()
 
     async def _serve_caller(
         self, scope: Scope, receive: Receive, send: Send
--- a/src/cranberryseam/serving/pending_requests.py
+++ b/src/cranberryseam/serving/pending_requests.py
@@ -92,6 +92,8 @@
             *self.forwarding_headers,
             (dialect.deadline_header, remaining_ms),
         ]
+        if dialect.attempt_id_header:
+            headers.append((dialect.attempt_id_header, name_attempt(effect)))
         if dialect.expected_target_header:
             target_id = effect.target.encode()
             headers.append((dialect.expected_target_header, target_id))
@@ -111,10 +113,15 @@
         return TargetRequest(head.method, head.target.raw, headers, body, host)
 
 
+def name_attempt(effect: StartAttempt) -> bytes:
+    """Return the identifier of an attempt, unique in this process."""
+    return b'%d-%d' % (effect.request_id, effect.attempt_id)
+
+
 def _build_framing_header(head: CheckedHead) -> tuple[bytes, bytes]:
     if head.content_length is None:
         return (TRANSFER_ENCODING, CHUNKED)
     return (CONTENT_LENGTH, b'%d' % head.content_length)
 
 
-__all__ = ('Outcome', 'PendingRequest', 'RequestEnd')
+__all__ = ('Outcome', 'PendingRequest', 'RequestEnd', 'name_attempt')
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -108,6 +108,7 @@
     method: str,
     dialect: Dialect = DEFAULT_DIALECT,
     caller_request_id: bytes = b'',
+    attempt_id: bytes = b'',
 ) -> TargetResponse | None:
     """Check the head of a response; return None if it can't be accepted.
 
@@ -115,8 +116,8 @@
     distinguished from a truncated one. It is only accepted if the targets are
     known to reset the connection of a response that they can't complete.
 
-    A response with the identifier of another request is a late one for that
-    request.
+    A response with the identifier of another request or attempt is a late one
+    for that request or attempt.
     """
     status = http_response.status_code
     if not _MIN_FINAL_STATUS <= status <= _MAX_STATUS:
@@ -137,6 +138,8 @@
     ):
         return None
     headers = select_response_headers(raw)
+    if _names_other_attempt(headers, dialect, attempt_id):
+        return None
     if not _is_authentic(status, headers, dialect, caller_request_id):
         return None
     return TargetResponse(
@@ -149,6 +152,15 @@
     )
 
 
+def _names_other_attempt(
+    headers: HeaderList, dialect: Dialect, attempt_id: bytes
+) -> bool:
+    name = dialect.attempt_id_header
+    return any(
+        known == name and value != attempt_id for known, value in headers
+    )
+
+
 def _is_authentic(
     status: int, headers: HeaderList, dialect: Dialect, caller_request_id: bytes
 ) -> bool:
--- a/src/cranberryseam/serving/statements.py
+++ b/src/cranberryseam/serving/statements.py
@@ -44,7 +44,11 @@
 
 def remove_statement(headers: HeaderList, dialect: Dialect) -> HeaderList:
     """Return the headers without those that callers don't need."""
-    private = {dialect.rate_limit_header, dialect.leaving_header}
+    private = {
+        dialect.rate_limit_header,
+        dialect.leaving_header,
+        dialect.attempt_id_header,
+    }
     return [header for header in headers if header[0] not in private]
 
 
--- /dev/null
+++ b/src/cranberryseam/serving/target_transport.py
@@ -0,0 +1,272 @@
+"""HTTP/1.1 connection to a target, as a transport of the HTTP client."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import AsyncIterator
+from typing import Final, TypeAlias, cast
+
+import h11
+import httpx
+
+Address: TypeAlias = tuple[str, int]
+
+# Largest head of a response, and of the framing between two chunks.
+_MAX_HEAD_BYTES: Final = 102_400
+# Reading pauses while more than this waits for its consumer.
+_MAX_UNREAD_BYTES: Final = 262_144
+
+
+class TargetTransport(httpx.AsyncBaseTransport, asyncio.Protocol):
+    """A single connection, used by one request at a time.
+
+    It reads while it is idle, too. Bytes outside of the response to the
+    current request, such as a copy of an earlier response, make it unusable.
+
+    Parameters
+    ----------
+    address
+        Address of the target.
+    connect_timeout_s
+        Limit for the connection.
+
+    """
+
+    def __init__(self, address: Address, connect_timeout_s: float) -> None:
+        """Create a transport that connects with its first request."""
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._socket: asyncio.Transport | None = None
+        self._in_use = False
+        self._unread_bytes = 0
+        self._paused = False
+        self._received = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._ended = False
+        self._error: Exception | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it is connected and not in use."""
+        return not (self._in_use or self._ended or self._socket is None)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether no bytes wait that the event loop has not read yet."""
+        return self._socket is not None and not _is_readable(self._socket)
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request and return its response with an unread body.
+
+        Parameters
+        ----------
+        request
+            The request; its extension ``on_write`` is called before the first
+            byte is written.
+
+        Raises
+        ------
+        httpx.ConnectError, httpx.ConnectTimeout
+            If there is no connection and none could be opened.
+        httpx.TransportError
+            If no response arrived.
+
+        """
+        if self._socket is None:
+            await self._connect()
+        if self._ended:
+            raise httpx.ConnectError('the target closed the new connection')
+        self._in_use = True
+        request.extensions['on_write']()
+        await self._write_request(request)
+        event = await self._read_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._read_event()
+        if not isinstance(event, h11.Response):
+            raise httpx.RemoteProtocolError(
+                f'expected a response, got {type(event).__name__}'
+            )
+        return httpx.Response(
+            event.status_code,
+            headers=event.headers.raw_items(),
+            stream=_ResponseBody(self),
+        )
+
+    async def read_body(self) -> bytes:
+        """Return the next part of the body, empty at its end."""
+        event = await self._read_event()
+        return bytes(event.data) if isinstance(event, h11.Data) else b''
+
+    def end_response(self) -> None:
+        """Make it usable again, or close it if that isn't safe."""
+        is_done = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+        )
+        if not is_done or self._ended or self._http.trailing_data[0]:
+            self.abort()
+            return
+        self._http.start_next_cycle()
+        self._unread_bytes = 0
+        self._in_use = False
+
+    def abort(self) -> None:
+        """Close it without waiting."""
+        self._ended = True
+        if self._socket is not None:
+            self._socket.abort()
+
+    async def aclose(self) -> None:
+        """Close it; see ``httpx.AsyncBaseTransport``."""
+        self.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the socket; see ``asyncio.Protocol``."""
+        self._socket = cast('asyncio.Transport', transport)
+        if self._ended:
+            self._socket.abort()
+
+    def data_received(self, received: bytes) -> None:
+        """Buffer a part of the response."""
+        if not self._in_use:
+            self.abort()
+            return
+        self._http.receive_data(received)
+        self._unread_bytes += len(received)
+        if self._unread_bytes > _MAX_UNREAD_BYTES and self._socket is not None:
+            self._paused = True
+            self._socket.pause_reading()
+        self._received.set()
+
+    def eof_received(self) -> bool:
+        """Record the end of the stream and close the socket."""
+        self._end()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake up the request, which can't continue."""
+        self._error = error
+        self._end()
+        self._writable.set()
+
+    def pause_writing(self) -> None:
+        """Make the request wait until the target reads."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let the request continue."""
+        self._writable.set()
+
+    def _end(self) -> None:
+        if not self._ended and self._in_use:
+            self._http.receive_data(b'')
+        self._ended = True
+        self._received.set()
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                await loop.create_connection(lambda: self, host, port)
+        except TimeoutError as error:
+            self.abort()
+            raise httpx.ConnectTimeout(str(error)) from error
+        except OSError as error:
+            raise httpx.ConnectError(str(error)) from error
+
+    async def _write_request(self, request: httpx.Request) -> None:
+        head = h11.Request(
+            method=request.method.encode(),
+            target=request.extensions['target'],
+            headers=request.headers.raw,
+        )
+        body = cast('httpx.AsyncByteStream', request.stream)
+        if not await self._write(head):
+            return
+        async for chunk in body:
+            # A target that responds early may stop reading the body.
+            if not await self._write(h11.Data(chunk)):
+                return
+        await self._write(h11.EndOfMessage())
+
+    async def _write(self, event: h11.Event) -> bool:
+        """Write a part of the request; return False if the connection ended."""
+        try:
+            raw = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            raise httpx.LocalProtocolError(str(error)) from error
+        await self._writable.wait()
+        if self._socket is None or self._ended or self._socket.is_closing():
+            return False
+        if raw:
+            self._socket.write(raw)
+        return True
+
+    async def _read_event(self) -> h11.Event:
+        event = self._next_event()
+        while event is None:
+            if self._error is not None:
+                raise httpx.ReadError(str(self._error)) from self._error
+            if self._ended:
+                raise httpx.RemoteProtocolError(
+                    'expected the rest of the response, got the end'
+                )
+            self._resume_reading()
+            await self._received.wait()
+            event = self._next_event()
+        return event
+
+    def _next_event(self) -> h11.Event | None:
+        """Return the next part of the response, None until it is received."""
+        self._received.clear()
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise httpx.RemoteProtocolError(str(error)) from error
+        return None if isinstance(event, type) else event
+
+    def _resume_reading(self) -> None:
+        self._unread_bytes = 0
+        if self._paused and self._socket is not None:
+            self._paused = False
+            self._socket.resume_reading()
+
+
+class _ResponseBody(httpx.AsyncByteStream):
+    """Body of a response that is read from its connection."""
+
+    def __init__(self, transport: TargetTransport) -> None:
+        """Create the stream of the current response."""
+        self._transport: TargetTransport | None = transport
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body."""
+        while self._transport is not None:
+            part = await self._transport.read_body()
+            if not part:
+                return
+            yield part
+
+    async def aclose(self) -> None:
+        """End the response; an incomplete one closes the connection."""
+        transport = self._transport
+        self._transport = None
+        if transport is not None:
+            transport.end_response()
+
+
+def _is_readable(transport: asyncio.Transport) -> bool:
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket').fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+__all__ = ('TargetTransport',)
--- a/tests/serving/test_faulty_targets.py
+++ b/tests/serving/test_faulty_targets.py
@@ -123,6 +123,10 @@
         writer.close()
 
 
+# Time in which bytes arrive on the same machine.
+_PAUSE_S = 0.05
+
+
 class RepeatedRefusalTest(testtools.TestCase):
     """A target writes an earlier refusal once more on a kept connection."""
 
@@ -202,6 +206,102 @@
         self.assertFalse(second.endswith(b'r1'), second)
 
 
+@attrs.define(eq=False)
+class _LateCopyTarget:
+    """Repeats the end or the whole of its last response, late.
+
+    Parameters
+    ----------
+    copied
+        Number of bytes of the response, from its end, that are repeated.
+    read_first
+        Whether it waits for the next request before it repeats them.
+
+    """
+
+    interface: _Interface
+    copied: int
+    read_first: bool
+    repeated: asyncio.Event = attrs.field(factory=asyncio.Event)
+    answered: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            response = self._respond(await read_request(reader))
+            writer.write(response)
+            if not self.read_first:
+                await writer.drain()
+                await asyncio.sleep(_PAUSE_S)
+                writer.write(response[-self.copied :])
+                await asyncio.sleep(_PAUSE_S)
+                self.repeated.set()
+            while True:
+                request = await read_request(reader)
+                if self.read_first:
+                    writer.write(response[-self.copied :])
+                writer.write(self._respond(request))
+        writer.close()
+
+    def _respond(self, request: bytes) -> bytes:
+        self.answered += 1
+        lines = b''.join(
+            line + b'\r\n'
+            for line in request.split(b'\r\n')
+            if line.lower().startswith(
+                (b'cranberryseam-attempt', b'request-id')
+            )
+        )
+        body = b'answer %d' % self.answered
+        interface = attrs.evolve(
+            self.interface, response_lines=b'Response-Seal: s\r\n'
+        )
+        return interface.build_response(b'200 OK', lines, body)
+
+
+class LateCopyTest(testtools.TestCase):
+    """A target sends a copy of a response after the response."""
+
+    @parameterized.expand(
+        [
+            (f'{each.name}_{copied}_{"in_use" if read_first else "idle"}',)
+            + (each, copied, read_first)
+            for each in _INTERFACES
+            for copied, read_first in ((1, False), (8, False), (999, False))
+            + ((999, True),)
+        ]
+    )
+    def test_next_request(
+        self, _: str, interface: _Interface, copied: int, read_first: bool
+    ) -> None:
+        """Guards against the answer of an earlier request for a later one."""
+        target = _LateCopyTarget(interface, copied, read_first)
+
+        async def scenario() -> list[bytes]:
+            reducer = ForwardingReducer()
+            request = interface.build_request()
+            replies = []
+            async with (
+                run_target(target.serve) as reducer.port,
+                run_gateway(reducer, interface.dialect) as fixture,
+            ):
+                for request_id in (b'r1', b'r2'):
+                    own = request.replace(b'r1', request_id)
+                    replies.append(await fixture.send_raw(own))
+                    if not read_first:
+                        await target.repeated.wait()
+            return replies
+
+        first, second = asyncio.run(scenario())
+        self.assertTrue(first.endswith(b'answer 1'), first)
+        if read_first:
+            # The request may run, so it isn't sent to another target.
+            self.assertTrue(second.startswith(b'HTTP/1.1 502'), second)
+        else:
+            self.assertTrue(second.endswith(b'answer 2'), second)
+
+
 class CutResponseTest(testtools.TestCase):
     """A target closes its connection within a response."""
 
