Plan requests by data centre, with the load that other data centres cause

Cause: each VM planned the demand of its whole region over targets as seen from its own data centre, so near targets looked twice as loaded as they became; a target that a VM had not used itself counted as failing with 15%, so VMs stayed with whatever target they had used; all VMs of a region served its idle targets.

Change: the leader measures the demand by data centre and tells it in its views; each VM plans its own data centre, over the load that all others cause with the same plan (routing/demand.py). A target that VMs use and of which no failure was reported counts as sound. The leader offers an idle target to one VM at a time, near the target, in place of a share of all requests.

--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -197,7 +197,8 @@
         if known and not data_centre:
             return []
         region = self._regions_by_data_centre.get(data_centre, '')
-        return [MemberChanged(at, vm, region, MemberStatus.alive)]
+        status = MemberStatus.alive
+        return [MemberChanged(at, vm, region, status, data_centre)]
 
     def _record_contact(self, vm: VmId, poll: Poll, at: float) -> None:
         if self._find_leader_status(at) is None:
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -96,11 +96,19 @@
 
 @attrs.frozen
 class MemberChanged(Notice):
-    """The status of another VM changed."""
+    """The status of another VM changed.
+
+    Parameters
+    ----------
+    data_centre
+        Empty if it is unknown or unchanged.
+
+    """
 
     vm: VmId
     region: str
     status: MemberStatus
+    data_centre: str = ''
 
 
 @attrs.frozen
--- a/src/cranberryseam/experiments/policy_vms.py
+++ b/src/cranberryseam/experiments/policy_vms.py
@@ -166,7 +166,11 @@
         """Tell a VM about all VMs, which get its broadcasts."""
         for other in self.vms.values():
             notice = MemberChanged(
-                0, other.name, other.region, MemberStatus.alive
+                0,
+                other.name,
+                other.region,
+                MemberStatus.alive,
+                other.data_centre,
             )
             self.execute(vm, vm.router.handle(notice))
 
--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..core.events import Announcement
 from ..types import ServiceName, TargetId, VmId
+from .demand import DemandMeter
 from .detection import (
     FAILED,
     SLOW,
@@ -24,6 +26,7 @@
 from .idle_targets import IdleTargets
 from .messages import OutcomeReport, ServiceView
 from .model import Tuning
+from .places import VmPlaces
 from .target import hash_name
 
 if TYPE_CHECKING:
@@ -77,6 +80,7 @@
         tuning: Tuning,
         rng: random.Random,
         leading_since: float,
+        vm_places: VmPlaces,
     ) -> None:
         """Create an empty pool at the start of a leadership."""
         self.service = service
@@ -87,6 +91,8 @@
         self.decided_at = leading_since
         self._by_hash: dict[int, TargetEvidence] = {}
         self._tuning = tuning
+        self._vm_places = vm_places
+        self._demand = DemandMeter()
         self._leading_since = leading_since
         self._sequence = 0
         self._reporters: dict[VmId, _Reporter] = {}
@@ -122,7 +128,9 @@
             return
         reporter.sent_at = report.sent_at
         reporter.received_at = at
+        data_centre = self._vm_places.find(vm)
         for row in report.rows:
+            self._demand.record(data_centre, row.busy_ms)
             evidence = self._by_hash.get(row.target)
             if evidence is not None:
                 evidence.rows.append((vm, row))
@@ -149,6 +157,7 @@
         self._sequence += 1
         # Without shared estimates, single VMs avoid a target, not all of them.
         shares_health = self._tuning.health_sharing_enabled
+        serves = partial(self._serves, self._vm_places.find(vm))
         return ServiceView(
             self.service,
             region,
@@ -164,13 +173,15 @@
                 * evidence.announcement.slots
             ),
             round(self._measure_demand() * _HUNDREDTHS),
-            self.idle.list_idle(at) if shares_health else (),
-            self.idle.permille if shares_health else 0,
+            self.idle.offer(at, serves) if shares_health else (),
+            self._measure_use_age_ms(at) if shares_health else 0,
+            self._demand.current.to_hundredths(self._vm_places.places.names),
         )
 
     def decide(self, at: float) -> Decision:
         """Test all targets with the rows received since the last decision."""
         elapsed = max(at - self.decided_at, 1 / _MS_PER_S)
+        self._demand.update(elapsed)
         self.decided_at = at
         self._drop_stale(at)
         healthy_failed = self._count_rows(elapsed)
@@ -189,6 +200,21 @@
             ejected = self._eject(at)
         return Decision(tuple(ejected), tuple(returned), tuple(lifted))
 
+    def _serves(self, data_centre: str, target: TargetId) -> bool:
+        """Return whether the VMs of a data centre serve an idle target."""
+        evidence = self.targets.get(target)
+        if not data_centre or evidence is None:
+            return True
+        places = self._vm_places.places
+        users = self._demand.current.find_users(
+            places, evidence.announcement.data_centre
+        )
+        return data_centre in users
+
+    def _measure_use_age_ms(self, at: float) -> int:
+        use_age_s = self.idle.use_age_s(at)
+        return 0 if use_age_s is None else 1 + round(use_age_s * _MS_PER_S)
+
     def _measure_demand(self) -> float:
         return sum(evidence.load for evidence in self.targets.values())
 
--- a/src/cranberryseam/routing/health.py
+++ b/src/cranberryseam/routing/health.py
@@ -89,6 +89,18 @@
         kept = math.exp(-_DECAY_RATE_PER_S * max(0, at - self.at))
         return _BASELINE + (self.probability - _BASELINE) * kept
 
+    def probability_since_use(self, at: float, used_at: float) -> float:
+        """Return the probability if other VMs used the target meanwhile.
+
+        They report failures at once, so that none was reported since
+        ``used_at`` counts as a success at that time.
+        """
+        own = self.probability_at(at)
+        if own > _BASELINE:
+            return own
+        other = FailureEstimate(_MIN_PROBABILITY, used_at)
+        return min(own, other.probability_at(at))
+
     def update(self, evidence: Evidence, at: float) -> None:
         """Update the probability with an outcome."""
         before = self.probability_at(at)
--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -170,9 +170,12 @@
         """Apply the estimates of the leader."""
         for key, percent in message.rows:
             target = self._targets.get(key)
-            if target is not None:
-                target.fleet_estimate.apply_percent(percent, at)
-                # The change comes from the outcome of a request.
+            if target is None:
+                continue
+            known = target.fleet_estimate.probability_at(at)
+            target.fleet_estimate.apply_percent(percent, at)
+            if target.fleet_estimate.probability_at(at) >= known:
+                # Another VM has just tried it, without success.
                 target.idle_until = at
 
     def _take_changes(self, at: float) -> dict[int, int]:
--- a/src/cranberryseam/routing/idle_targets.py
+++ b/src/cranberryseam/routing/idle_targets.py
@@ -12,7 +12,7 @@
 from .target import hash_name
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Mapping, Set
 
     from ..types import Output, ServiceName, TargetId
 
@@ -20,14 +20,19 @@
 MIN_IDLE_S: Final = 2.0
 # Reports arrive up to a second after a request.
 _OFFERED_AFTER_S: Final = 0.7
-# Requests that an idle target gets until the VMs learn that it isn't idle.
-_OFFERED_RATE_PER_S: Final = 2.0
+# A VM may have no request within this time, or may not be able to use it.
+_OFFER_INTERVAL_S: Final = 0.5
+# Share of all requests that may go to idle targets, which often still fail.
+_OFFERED_SHARE: Final = 0.25
+# A service with few requests sends all of them to its idle targets.
+_MIN_OFFERS_PER_S: Final = 2.0
 # Targets that fail more probably are named last: VMs may not use them.
 _DOUBTFUL_PERCENT: Final = 70
-# Bounds the size of a view.
-_MAX_OFFERED: Final = 8
+# Above the estimate without any outcome.
+_FAILING_PERCENT: Final = 15
+# A VM has few requests until its next view.
+_MAX_OFFERED: Final = 1
 _RATE_SMOOTHING: Final = 0.3
-_PERMILLE: Final = 1000
 _DECIMALS: Final = 1
 
 # Returns the failure probability (percent) of a target, by its hash.
@@ -38,6 +43,8 @@
 class _Use:
     used_at: float
     logged: bool = False
+    reported: bool = True
+    offered_at: float = float('-inf')
 
 
 @attrs.frozen
@@ -63,6 +70,8 @@
     _updated_at: float = 0
     _uses: dict[TargetId, _Use] = attrs.field(factory=dict)
     _doubtful: frozenset[TargetId] = frozenset()
+    _failing: frozenset[TargetId] = frozenset()
+    _allowance: float = 0
     _ended: list[_Period] = attrs.field(factory=list)
     _service_used_at: float = float('-inf')
 
@@ -72,7 +81,7 @@
         use = self._uses.setdefault(target, _Use(at))
         if use.logged:
             self._ended.append(_Period(target, at - use.used_at))
-        self._uses[target] = _Use(at)
+        self._uses[target] = _Use(at, offered_at=use.offered_at)
         self._service_used_at = at
 
     def update(
@@ -87,11 +96,9 @@
 
         """
         self._update_rate(at)
-        self._doubtful = frozenset(
-            name
-            for name in ready
-            if estimates(hash_name(name), at) > _DOUBTFUL_PERCENT
-        )
+        percents = {name: estimates(hash_name(name), at) for name in ready}
+        self._doubtful = _select_above(percents, _DOUBTFUL_PERCENT)
+        self._failing = _select_above(percents, _FAILING_PERCENT)
         for name in self._uses.keys() - ready:
             self._uses.pop(name)
         outputs: list[Output] = [
@@ -104,21 +111,46 @@
             outputs.append(IncrementCounter('routing.targets_idle'))
         return outputs
 
-    def list_idle(self, at: float) -> tuple[int, ...]:
-        """Return hashes of the targets to use soon, the longest idle first."""
+    def offer(
+        self, at: float, is_served: Callable[[TargetId], bool]
+    ) -> tuple[int, ...]:
+        """Return hashes of the targets that the next requests of a VM go to.
+
+        The longest idle ones come first. Each offer is made to one VM only.
+
+        Parameters
+        ----------
+        is_served
+            Whether the VM sends requests to a target that is idle.
+
+        """
         idle = sorted(
             (name in self._doubtful, use.used_at, name)
             for name, use in self._uses.items()
             if at - use.used_at >= _OFFERED_AFTER_S
+            and at - use.offered_at >= _OFFER_INTERVAL_S
         )
-        return tuple(hash_name(row[-1]) for row in idle[:_MAX_OFFERED])
+        served = [row[-1] for row in idle if is_served(row[-1])]
+        offered = served[: min(_MAX_OFFERED, int(self._allowance))]
+        self._allowance -= len(offered)
+        for name in offered:
+            self._uses[name].offered_at = at
+        return tuple(map(hash_name, offered))
 
-    @property
-    def permille(self) -> int:
-        """Share of all requests that each idle target should get."""
-        if self._rate_per_s <= _OFFERED_RATE_PER_S:
-            return _PERMILLE
-        return round(_PERMILLE * _OFFERED_RATE_PER_S / self._rate_per_s)
+    def use_age_s(self, at: float) -> float | None:
+        """Return the time in which all targets that don't fail were used.
+
+        Returns
+        -------
+        Seconds; None if one of them may not have been used at all.
+
+        """
+        uses = [
+            use for name, use in self._uses.items() if name not in self._failing
+        ]
+        if not all(use.reported for use in uses):
+            return None
+        return at - min((use.used_at for use in uses), default=at)
 
     def _update_rate(self, at: float) -> None:
         elapsed_s = at - self._updated_at
@@ -127,12 +159,19 @@
             self._rate_per_s += _RATE_SMOOTHING * (rate - self._rate_per_s)
             self._attempts = 0
             self._updated_at = at
+            offers_per_s = max(
+                self._rate_per_s * _OFFERED_SHARE, _MIN_OFFERS_PER_S
+            )
+            self._allowance = min(
+                max(1, offers_per_s),
+                self._allowance + offers_per_s * elapsed_s,
+            )
 
     def _find_idle(self, ready: Set[TargetId], at: float) -> list[_Period]:
         """Return the targets that have been idle long enough to be logged."""
         found = []
         for name in sorted(ready):
-            use = self._uses.setdefault(name, _Use(at))
+            use = self._uses.setdefault(name, _Use(at, reported=False))
             # Without requests for the service all of its targets are idle.
             idle_s = self._service_used_at - use.used_at
             if idle_s >= MIN_IDLE_S and not use.logged:
@@ -156,4 +195,12 @@
         return WriteLog(logging.INFO, message, fields)
 
 
+def _select_above(
+    percents: Mapping[TargetId, int], limit: int
+) -> frozenset[TargetId]:
+    return frozenset(
+        name for name, percent in percents.items() if percent > limit
+    )
+
+
 __all__ = ('MIN_IDLE_S', 'EstimateLookup', 'IdleTargets')
--- a/src/cranberryseam/routing/leadership.py
+++ b/src/cranberryseam/routing/leadership.py
@@ -22,6 +22,7 @@
 
     from ..configuration.model import Service
     from ..types import Output, TargetId, VmId
+    from .places import VmPlaces
 
 DECIDE = 'decide'
 _DECISION_INTERVAL_S = 0.5
@@ -56,8 +57,10 @@
         tuning: Tuning,
         leaders: LeaderLookup,
         rng: random.Random,
+        vm_places: VmPlaces,
     ) -> None:
         """Create a leadership without pools."""
+        self._vm_places = vm_places
         self.pools: dict[ServiceName, EvidencePool] = {}
         self._vm = vm
         self._region = region
@@ -168,7 +171,7 @@
         return pool or self._create_pool(name, at)
 
     def _create_pool(self, name: ServiceName, at: float) -> EvidencePool:
-        pool = EvidencePool(name, self._tuning, self._rng, at)
+        pool = EvidencePool(name, self._tuning, self._rng, at, self._vm_places)
         self._set_floor(pool)
         for known in self._known.values():
             if known.announcement.service == name:
--- a/src/cranberryseam/routing/load_planning.py
+++ b/src/cranberryseam/routing/load_planning.py
@@ -32,12 +32,25 @@
         Cost of a request without load, in units of the whole capacity of a
         target.
     slots
-        Slots available to the region of this VM.
+        Slots of the target.
+    used
+        Utilisation by requests that the plan doesn't include.
 
     """
 
     cost: float
     slots: float
+    used: float = 0
+
+    @property
+    def starts_at(self) -> float:
+        """Cost level from which it takes load."""
+        return self.cost + self.used
+
+    @property
+    def most(self) -> float:
+        """Utilisation that the plan may add."""
+        return max(0, MAX_LOAD - self.used)
 
 
 def plan_loads(candidates: Sequence[Candidate], demand: float) -> list[float]:
@@ -57,7 +70,8 @@
     """
     level = _find_level(candidates, demand)
     return [
-        candidate.slots * min(MAX_LOAD, max(0, level - candidate.cost))
+        candidate.slots
+        * min(candidate.most, max(0, level - candidate.starts_at))
         for candidate in candidates
     ]
 
@@ -68,9 +82,11 @@
     The load taken is a piecewise linear function of the level, with breaks
     where a target starts to take load or becomes full.
     """
-    changes = [(candidate.cost, candidate.slots) for candidate in candidates]
+    changes = [
+        (candidate.starts_at, candidate.slots) for candidate in candidates
+    ]
     changes += [
-        (candidate.cost + MAX_LOAD, -candidate.slots)
+        (candidate.starts_at + candidate.most, -candidate.slots)
         for candidate in candidates
     ]
     changes.sort()
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -94,9 +94,14 @@
     demand
         Sum of the slots in use at all targets (hundredths).
     idle
-        Hashes of ready targets without recent requests of any VM.
-    idle_permille
-        Share of all requests that each of these targets should get.
+        Hashes of ready targets without recent requests of any VM; the next
+        requests of the receiver go there.
+    use_age_ms
+        All ready targets that don't fail have had requests within this time;
+        0 if the leader doesn't know.
+    demands
+        Slots in use (hundredths) by the VMs of each data centre, in the order
+        of their names.
 
     """
 
@@ -108,7 +113,8 @@
     loads: tuple[tuple[int, int], ...]
     demand: int = 0
     idle: tuple[int, ...] = ()
-    idle_permille: int = 0
+    use_age_ms: int = 0
+    demands: tuple[int, ...] = ()
 
 
 class HealthSeen(Message, frozen=True, array_like=True, tag=602):  # noqa: WPS432 (tag)
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -123,7 +123,11 @@
     load_report_threshold
         Fraction of a target's slots from which the leader reports its load.
     regions
-        Number of regions of the fleet, assumed to have equal load.
+        Number of regions of the fleet, assumed to have equal load until their
+        demand is known.
+    distance_costs
+        Cost of a request to the own data centre, the own region and another
+        region, in units of the whole capacity of a target.
     discovery_s
         Time after its first configuration within which a VM may not yet know
         all existing targets; 0 if it learns of all at once.
@@ -149,6 +153,7 @@
     health_sharing_enabled: bool = False
     load_report_threshold: float = 0
     regions: int = 1
+    distance_costs: tuple[float, float, float] = (0, 0.6, 1.5)
     discovery_s: float = 0
 
 
--- a/src/cranberryseam/routing/reporting.py
+++ b/src/cranberryseam/routing/reporting.py
@@ -20,9 +20,11 @@
 
 
 _HUNDREDTHS = 100
-_PERMILLE = 1000
+_MS_PER_S = 1000
 # A VM that uses a service gets a view each second.
 _IDLE_VALIDITY_S = 1.5
+# The leader learns of an attempt up to a report interval after its end.
+_REPORT_AGE_S = 1.0
 
 
 @attrs.frozen
@@ -99,13 +101,16 @@
         return False
     state.invalidate()
     state.demand = view.demand / _HUNDREDTHS
-    state.idle_share = view.idle_permille / _PERMILLE
+    state.apply_demand(view.demands)
     loads = dict(view.loads)
     for target in state.targets.values():
         if target.announcement.region == view.region:
             target.update_other_load(loads.get(target.name_hash, 0))
             idle = target.name_hash in view.idle
             target.idle_until = at + _IDLE_VALIDITY_S if idle else at
+            if view.use_age_ms:
+                use_age_s = view.use_age_ms / _MS_PER_S
+                target.fleet_used_at = at - use_age_s - _REPORT_AGE_S
     return True
 
 
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -55,6 +55,7 @@
     LeaderLookup,
     Tuning,
 )
+from .places import Places, VmPlaces
 from .reporting import ReportScheduler, apply_view
 from .services import ServiceTable
 from .shared_budget import SharedRetryBudget
@@ -116,6 +117,8 @@
         self._tuning = attrs.evolve(
             tuning or Tuning(), regions=_count_regions(settings)
         )
+        places = Places(settings.vm.data_centre, dict(settings.places))
+        self._vm_places = VmPlaces(places)
         self._version = 0
         self._admission = Admission(rng)
         self._budgets = RetryBudgets()
@@ -125,12 +128,19 @@
         self._shares_retries = settings.retries.slack > 0
         self._report_scheduler = ReportScheduler(leaders, self._tuning)
         self._leadership = ServiceLeadership(
-            self._id, settings.vm.region, self._tuning, leaders, rng
+            self._id,
+            settings.vm.region,
+            self._tuning,
+            leaders,
+            rng,
+            self._vm_places,
         )
         self._health = HealthSharing(
             settings.vm.region, leaders, dict(settings.places)
         )
-        self._services = ServiceTable(settings, self._tuning, self._health)
+        self._services = ServiceTable(
+            settings, self._tuning, self._health, places
+        )
         self._idle = IdleLimits(settings.vm.region, leaders)
         self._statements = StatementSharing(settings, self._services, leaders)
         self._decayed_at: float = 0
@@ -315,11 +325,13 @@
     def _update_membership(self, event: Event | Notice) -> None:
         match event:
             case MemberChanged(vm=vm, region=region, status=MemberStatus.alive):
+                self._vm_places.add(vm, event.data_centre)
                 self._health.add_vm(vm, region)
                 self._idle.add_vm(vm)
                 self._statements.add_vm(vm, event.at)
             case MemberChanged(vm=vm, status=status):
                 if status in _DEPARTED:
+                    self._vm_places.remove(vm)
                     self._leadership.forget_vm(vm)
                     self._health.remove_vm(vm)
                     self._idle.remove_vm(vm)
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -30,8 +30,6 @@
 # retried loses the answer; one that can costs a second attempt.
 _FINAL_FAILURE_COST = 5.0
 _RETRIABLE_FAILURE_COST = 3.0
-# Another region costs traffic on billed links and a round trip of 60 ms.
-_DISTANCE_COSTS = (0, 0.15, 1.0)
 # A new connection takes a round trip and briefly a slot of the target.
 _CONNECT_COST = 0.1
 # Demand of one region in slots until the leader reports more.
@@ -43,8 +41,6 @@
 # A service with retriable requests within this time sends only them to idle
 # targets.
 _RETRIABLE_MEMORY_S = 10.0
-# Share of the requests of a VM that may go to idle targets.
-_MAX_IDLE_SHARE = 0.5
 
 
 class Selection:
@@ -107,9 +103,7 @@
             return idle
         targets = [target for group in self._eligible for target in group]
         candidates = [self._describe_candidate(target) for target in targets]
-        parts = self._state.tuning.regions
-        demand = max(_MIN_DEMAND, self._state.demand / parts)
-        loads = plan_loads(candidates, demand)
+        loads = plan_loads(candidates, self._find_demand())
         planned = dict(zip(targets, loads, strict=True))
         usable = [target for target in targets if self._may_use(target)]
         weights = [planned[target] for target in usable]
@@ -119,18 +113,22 @@
         self._rng.shuffle(usable)
         return min(usable, key=self._total_cost, default=None)
 
+    def _find_demand(self) -> float:
+        """Return the demand of the data centre of this VM, in slots."""
+        by_place = self._state.demand_by_place.slots
+        places = self._state.places
+        even = self._state.demand / max(1, len(places.regions))
+        return max(_MIN_DEMAND, by_place.get(places.own, even))
+
     def _choose_idle(self) -> Target | None:
-        """Return a target of the region without requests of any VM."""
+        """Return a target that the leader has offered to this VM."""
         idle = [
             target
-            for group in self._eligible[:_OTHER_REGION]
+            for group in self._eligible
             for target in group
             if self._is_idle(target) and self._may_use(target)
         ]
-        # The VMs of a region send the requests to its targets.
-        share = self._state.idle_share * self._state.tuning.regions
-        chance = min(_MAX_IDLE_SHARE, share * len(idle))
-        if not idle or self._rng.random() >= chance:
+        if not idle:
             return None
         target = self._rng.choice(idle)
         target.idle_until = self._at
@@ -152,10 +150,9 @@
 
     def _describe_candidate(self, target: Target) -> Candidate:
         slots = target.announcement.slots * self._ramp(target)
-        if target.distance == _OTHER_REGION:
-            # All regions are assumed to use the target equally.
-            slots /= self._state.tuning.regions
-        return Candidate(self._base_cost(target), slots)
+        foreign = self._state.foreign_loads(self._at)
+        used = foreign.get(target.announcement.data_centre, 0)
+        return Candidate(self._base_cost(target), slots, used)
 
     def _total_cost(self, target: Target) -> float:
         return self._cost(target) + self._base_cost(target)
@@ -167,13 +164,16 @@
             _RETRIABLE_FAILURE_COST if self._may_repeat else _FINAL_FAILURE_COST
         )
         chance = target.failure_probability(self._at)
-        cost = failure_cost * chance + _DISTANCE_COSTS[target.distance]
+        cost = failure_cost * chance + self._distance_cost(target)
         return (
             cost
             if self._at < target.connection_warm_until
             else cost + _CONNECT_COST
         )
 
+    def _distance_cost(self, target: Target) -> float:
+        return self._state.tuning.distance_costs[target.distance]
+
     def _find_trial(self) -> Target | None:
         request = self._request
         if not (self._state.trial_targets and request.retriable):
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from .accounts import AccountEvidence
+from .demand import Demand, plan_foreign_loads
 from .fair_queue import FairQueue
 from .latency import LatencyWindow
 from .messages import EjectedRow
 from .model import INTERACTIVE_LANE, LONG_LANE, Tuning
+from .places import Places
 from .target import Target
 from .views import RegionView, limit_to_floor
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping, Sequence
 
     from ..core.events import Announcement
     from ..types import ServiceName, TargetId
@@ -45,18 +48,23 @@
         Name of the service.
     tuning
         Constants of the router.
+    places
+        Data centres of the fleet.
 
     """
 
-    def __init__(self, name: ServiceName, tuning: Tuning) -> None:
+    def __init__(
+        self, name: ServiceName, tuning: Tuning, places: Places
+    ) -> None:
         """Create a service without targets."""
         self.name = name
+        self.places = places
+        self.demand_by_place = Demand()
+        self._foreign_loads: dict[str, float] | None = None
         self.tuning = tuning
         self.floor = _DEFAULT_FLOOR
         # Slots in use by all VMs at all targets, as reported by the leader.
         self.demand: float = 0
-        # Share of the requests of all VMs that each idle target should get.
-        self.idle_share: float = 0
         # Time of the last request that may be repeated.
         self.retriable_at: float = -math.inf
         self.targets: dict[TargetId, Target] = {}
@@ -82,6 +90,30 @@
             self._rebuild(at)
         return self._eligible
 
+    def apply_demand(self, hundredths: Sequence[int]) -> None:
+        """Store the demand in each data centre, as told by the leader."""
+        self.demand_by_place = Demand.from_hundredths(
+            self.places.names, hundredths
+        )
+        self._foreign_loads = None
+
+    def foreign_loads(self, at: float) -> Mapping[str, float]:
+        """Return the utilisation of targets by other data centres."""
+        targets = self.eligible_targets(at)
+        if self._foreign_loads is None:
+            capacities: Counter[str] = Counter()
+            for group in targets:
+                for target in group:
+                    announcement = target.announcement
+                    capacities[announcement.data_centre] += announcement.slots
+            self._foreign_loads = plan_foreign_loads(
+                self.demand_by_place,
+                capacities,
+                self.places,
+                self.tuning.distance_costs,
+            )
+        return self._foreign_loads
+
     def pause_s(self, at: float) -> float:
         """Return the seconds until a target may get the next request.
 
@@ -142,6 +174,7 @@
 
     def _rebuild(self, at: float) -> None:
         self._eligible_until = _NEVER
+        self._foreign_loads = None
         self.ejected = {}
         for region, region_view in self.views.items():
             ejected = region_view.ejected_at(at)
--- a/src/cranberryseam/routing/services.py
+++ b/src/cranberryseam/routing/services.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from .places import Distance, Places
 from .service import ServiceState
 from .target import Target, hash_name
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Iterator
 
     from ..configuration.model import Configuration
     from ..configuration.settings import Settings, VmSettings
@@ -33,11 +34,15 @@
     """
 
     def __init__(
-        self, settings: Settings, tuning: Tuning, health: HealthSharing
+        self,
+        settings: Settings,
+        tuning: Tuning,
+        health: HealthSharing,
+        places: Places,
     ) -> None:
         """Create an empty table."""
         self._vm = settings.vm
-        self._data_centre_regions = dict(settings.places)
+        self._places = places
         self._tuning = tuning
         self._health = health
         self._states: dict[str, ServiceState] = {}
@@ -60,7 +65,7 @@
         """Return the state of a service, creating it on first use."""
         state = self._states.get(service)
         if state is None:
-            state = ServiceState(service, self._tuning)
+            state = ServiceState(service, self._tuning, self._places)
             state.floor = self._floors.get(service, state.floor)
             self._states[service] = state
         return state
@@ -104,9 +109,7 @@
         return state
 
     def _create_target(self, announcement: Announcement, at: float) -> Target:
-        distance = _measure_distance(
-            self._vm, self._data_centre_regions, announcement
-        )
+        distance = _measure_distance(self._vm, self._places, announcement)
         target = Target(announcement, hash_name(announcement.target), distance)
         target.limit = float(announcement.slots)
         target.used_at = at
@@ -117,19 +120,15 @@
 
 
 def _measure_distance(
-    vm: VmSettings,
-    data_centre_regions: Mapping[str, str],
-    announcement: Announcement,
-) -> int:
-    """Return 0 in the same data centre, 1 in the same region, else 2."""
-    own = vm.region
-    other = announcement.region
-    if data_centre_regions:
-        own = data_centre_regions.get(vm.data_centre, own)
-        other = data_centre_regions.get(announcement.data_centre, '')
-    if own != other:
-        return 2
-    return int(announcement.data_centre != vm.data_centre)
+    vm: VmSettings, places: Places, announcement: Announcement
+) -> Distance:
+    if places.regions:
+        return places.measure(vm.data_centre, announcement.data_centre)
+    if vm.region != announcement.region:
+        return Distance.other_region
+    if vm.data_centre != announcement.data_centre:
+        return Distance.own_region
+    return Distance.own_data_centre
 
 
 __all__ = ('ServiceTable',)
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -103,6 +103,8 @@
         Time at which this VM learned that it leaves; infinite if it doesn't.
     paused_until
         Time until which it wants no requests of this VM.
+    fleet_used_at
+        Time since which the VMs together have used it, as far as is known.
 
     """
 
@@ -133,6 +135,7 @@
     rate_limit: RateLimit | None = None
     leaving_since: float = math.inf
     paused_until: float = float('-inf')
+    fleet_used_at: float = float('-inf')
 
     @property
     def usable(self) -> bool:
@@ -155,8 +158,8 @@
     def failure_probability(self, at: float) -> float:
         """Return the probability that it is failing for this VM."""
         return max(
-            self.fleet_estimate.probability_at(at),
-            self.local_estimate.probability_at(at),
+            estimate.probability_since_use(at, self.fleet_used_at)
+            for estimate in (self.fleet_estimate, self.local_estimate)
         )
 
     def is_unchanged(self, announcement: Announcement, silent: bool) -> bool:
@@ -198,6 +201,7 @@
         self.rate_limit = None
         self.leaving_since = math.inf
         self.paused_until = -math.inf
+        self.fleet_used_at = -math.inf
 
     def integrate_use(self, at: float) -> Tally:
         """Add the slot time used since the last call; return the tally."""
--- a/tests/routing/sparse_traffic.py
+++ b/tests/routing/sparse_traffic.py
@@ -121,6 +121,8 @@
         self.traffic = traffic
         self.answered = 0
         self.sent = 0
+        # Requests to a target in another data centre than their VM.
+        self.left = 0
         self._rng = random.Random(seed)
         deployment = Deployment(
             'sparse',
@@ -231,6 +233,7 @@
         if isinstance(notice, SlotDenied):
             return
         target = self.targets[notice.target]
+        self.left += target.announcement.data_centre != vm.data_centre
         outcome, duration_s = self._start_work(target)
 
         def end() -> None:
