Send failure estimates through two relays in each data centre

Cause: the leader sent each change of an estimate to every VM by itself: at once to all VMs of the target's region.

Change: the leader sends a change to two VMs of each data centre, which pass it on to the others there, so the loss of one relay delays nothing. VMs in the data centre of a target get changes at once, those in its region 0.35 s and all others 1 s after the last message at the latest.

Weighed: no pushes to other regions (VMs that need a target there know nothing of it), rows in poll replies (as many copies across a region as VMs).

Result: test_messages_do_not_grow_with_vms: 6 messages for a change at 300 VMs as at 12 (before: one for each VM).

--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -3,27 +3,37 @@
 from __future__ import annotations
 
 import math
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
 from ..core.effects import SendMessage, SetTimer
+from ..types import VmId
 from .health import PERCENT, Evidence, FailureEstimate
 from .leadership import shard_key
 from .messages import HealthSeen, HealthTold
 from .model import COMPONENT, LeaderLookup
+from .places import Distance, Places
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from ..types import Output, VmId
+    from ..types import Output
     from .target import Target
 
 BROADCAST: Final = 'tell'
 # Changes within this time share a message; a request takes longer.
 _BROADCAST_DELAY_S: Final = 0.03
-# Interval of messages to VMs in other regions, which batch all changes.
-_OTHER_REGION_INTERVAL_S: Final = 1.0
+# VMs elsewhere rarely use a target, so changes are batched for them.
+_INTERVALS_S: Final = MappingProxyType(
+    {
+        Distance.own_data_centre: float(0),
+        Distance.own_region: 0.35,
+        Distance.other_region: 1.0,
+    }
+)
+# VMs of a data centre that pass changes on to the others there. With a second
+# one, the loss of the first delays nothing.
+_RELAYS: Final = 2
 # Smaller changes of the probability don't affect target selection.
 _MIN_CHANGE: Final = 0.1
 _LOAD_DEPENDENT: Final = frozenset((Evidence.unresponsive, Evidence.ambiguous))
@@ -51,6 +61,39 @@
         return self.sent.percent
 
 
+@attrs.define(eq=False)
+class _Audience:
+    """VMs of one data centre, and the changes that they haven't got yet."""
+
+    vms: set[VmId] = attrs.field(factory=set)
+    unsent: dict[int, int] = attrs.field(factory=dict)
+    due_at: float = math.inf
+    sent_at: float = -math.inf
+
+    def add(self, key: int, percent: int, at: float, interval_s: float) -> None:
+        """Add a change that is due an interval after the last message."""
+        self.unsent[key] = percent
+        self.due_at = min(self.due_at, max(at, self.sent_at + interval_s))
+
+    def take_messages(self, at: float) -> list[Output]:
+        """Return the messages with the changes so far.
+
+        Relays pass them on, so that each link to another data centre carries
+        a change once for each relay.
+        """
+        rows = tuple(self.unsent.items())
+        self.unsent.clear()
+        self.due_at = math.inf
+        self.sent_at = at
+        vms = sorted(self.vms)
+        return [
+            SendMessage(
+                relay, HealthTold(rows, tuple(vm for vm in vms if vm != relay))
+            )
+            for relay in vms[:_RELAYS]
+        ]
+
+
 class HealthSharing:
     """Reports outcomes to the leader; as the leader, broadcasts estimates.
 
@@ -66,17 +109,15 @@
     """
 
     def __init__(
-        self, region: str, leaders: LeaderLookup, places: Mapping[str, str]
+        self, region: str, leaders: LeaderLookup, places: Places
     ) -> None:
         """Create a table without estimates."""
         self._region = region
-        self._data_centre_regions = places
+        self._places = places
         self._leaders = leaders
         self._targets: dict[int, Target] = {}
         self._pooled: dict[int, _PooledEstimate] = {}
-        self._vms: dict[VmId, str] = {}
-        self._unsent: dict[int, int] = {}
-        self._all_sent_at = float('-inf')
+        self._audiences: dict[str, _Audience] = {}
         self._broadcast_at = math.inf
 
     def add_target(self, target: Target) -> None:
@@ -88,13 +129,18 @@
         self._targets.pop(target.name_hash, None)
         self._pooled.pop(target.name_hash, None)
 
-    def add_vm(self, vm: VmId, region: str = '') -> None:
-        """Add a VM to broadcasts; its region is empty if unknown."""
-        self._vms[vm] = region
+    def add_vm(self, vm: VmId, data_centre: str = '') -> None:
+        """Add a VM to broadcasts; its data centre is empty if unknown."""
+        self.remove_vm(vm)
+        audience = self._audiences.setdefault(data_centre, _Audience())
+        audience.vms.add(vm)
 
     def remove_vm(self, vm: VmId) -> None:
         """Remove a VM from broadcasts."""
-        self._vms.pop(vm, None)
+        for data_centre, audience in tuple(self._audiences.items()):
+            audience.vms.discard(vm)
+            if not audience.vms:
+                self._audiences.pop(data_centre)
 
     def record(
         self, target: Target, evidence: Evidence, at: float
@@ -115,49 +161,34 @@
         seen = HealthSeen(service, target.name_hash, int(evidence))
         return [SendMessage(leader, seen)]
 
-    def receive(self, seen: HealthSeen, at: float) -> list[Output]:
-        """Update the pooled estimate with an outcome seen by a VM."""
-        if not self._leads(seen.service, at):
-            return []
-        pooled = self._pooled.setdefault(
-            seen.target, _PooledEstimate(seen.service)
-        )
-        evidence = Evidence(seen.evidence)
-        if evidence in _LOAD_DEPENDENT:
-            pooled.load_signal_at = at
-            if self._is_widespread(seen.service, at):
-                return []
-        pooled.estimate.update(evidence, at)
-        return self._set_timer(at + _BROADCAST_DELAY_S)
+    def receive(
+        self, message: HealthSeen | HealthTold, at: float
+    ) -> list[Output]:
+        """Apply a message of another VM."""
+        if isinstance(message, HealthTold):
+            return self.apply(message, at)
+        return self._pool(message, at)
 
     def broadcast(self, at: float) -> list[Output]:
         """Send changed estimates to VMs; called by the timer.
 
-        VMs in the region of a target get changes immediately. VMs elsewhere
-        rarely use it, and the links to them are billed by volume, so changes
-        are batched for them.
+        VMs in the data centre of a target get changes immediately.
         """
         self._broadcast_at = math.inf
-        changed = self._take_changes(at)
-        self._unsent.update(changed)
-        sends_all = at >= self._all_sent_at + _OTHER_REGION_INTERVAL_S
-        outputs: list[Output] = []
-        for vm, region in sorted(self._vms.items()):
-            rows = (
-                self._unsent
-                if sends_all
-                else self._select_for_region(changed, region)
-            )
-            if rows:
-                message = HealthTold(tuple(rows.items()))
-                outputs.append(SendMessage(vm, message))
-        if sends_all:
-            self._all_sent_at = at
-            self._unsent.clear()
-        if self._unsent:
-            outputs.extend(
-                self._set_timer(self._all_sent_at + _OTHER_REGION_INTERVAL_S)
-            )
+        for key, percent in self._take_changes(at).items():
+            for data_centre, audience in self._audiences.items():
+                distance = self._measure_distance(key, data_centre)
+                audience.add(key, percent, at, _INTERVALS_S[distance])
+        audiences = [self._audiences[name] for name in sorted(self._audiences)]
+        outputs = [
+            output
+            for due in audiences
+            if due.due_at <= at
+            for output in due.take_messages(at)
+        ]
+        next_at = min((later.due_at for later in audiences), default=math.inf)
+        if next_at < math.inf:
+            outputs.extend(self._set_timer(next_at))
         return outputs
 
     def failure_percent(self, target: int, at: float) -> int:
@@ -166,8 +197,8 @@
         estimate = FailureEstimate() if pooled is None else pooled.estimate
         return round(estimate.probability_at(at) * PERCENT)
 
-    def apply(self, message: HealthTold, at: float) -> None:
-        """Apply the estimates of the leader."""
+    def apply(self, message: HealthTold, at: float) -> list[Output]:
+        """Apply the estimates of the leader, and pass them on as a relay."""
         for key, percent in message.rows:
             target = self._targets.get(key)
             if target is None:
@@ -177,6 +208,23 @@
             if target.fleet_estimate.probability_at(at) >= known:
                 # Another VM has just tried it, without success.
                 target.idle_until = at
+        passed_on = HealthTold(message.rows)
+        return [SendMessage(VmId(vm), passed_on) for vm in message.receivers]
+
+    def _pool(self, seen: HealthSeen, at: float) -> list[Output]:
+        """Update the pooled estimate with an outcome seen by a VM."""
+        if not self._leads(seen.service, at):
+            return []
+        pooled = self._pooled.setdefault(
+            seen.target, _PooledEstimate(seen.service)
+        )
+        evidence = Evidence(seen.evidence)
+        if evidence in _LOAD_DEPENDENT:
+            pooled.load_signal_at = at
+            if self._is_widespread(seen.service, at):
+                return []
+        pooled.estimate.update(evidence, at)
+        return self._set_timer(at + _BROADCAST_DELAY_S)
 
     def _take_changes(self, at: float) -> dict[int, int]:
         changed = {}
@@ -186,22 +234,12 @@
                 changed[key] = change
         return changed
 
-    def _select_for_region(
-        self, changed: dict[int, int], region: str
-    ) -> dict[int, int]:
-        """Return the changes that VMs in a region get immediately."""
-        return {
-            key: percent
-            for key, percent in changed.items()
-            if not region or region == self._find_region(key)
-        }
-
-    def _find_region(self, key: int) -> str:
+    def _measure_distance(self, key: int, data_centre: str) -> Distance:
         target = self._targets.get(key)
-        if target is None:
-            return ''
-        return self._data_centre_regions.get(
-            target.announcement.data_centre, ''
+        if target is None or not data_centre:
+            return Distance.own_data_centre
+        return self._places.measure(
+            target.announcement.data_centre, data_centre
         )
 
     def _set_timer(self, at: float) -> list[Output]:
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -135,9 +135,19 @@
 
 
 class HealthTold(Message, frozen=True, array_like=True, tag=603):  # noqa: WPS432 (tag)
-    """Pairs of target hash and failure probability (percent)."""
+    """Failure estimates of the leader.
+
+    Parameters
+    ----------
+    rows
+        Pairs of target hash and failure probability (percent).
+    receivers
+        VMs that the receiver passes the rows on to.
+
+    """
 
     rows: tuple[tuple[int, int], ...]
+    receivers: tuple[str, ...] = ()
 
 
 class BudgetAsked(Message, frozen=True, array_like=True, tag=604):  # noqa: WPS432 (tag)
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -135,9 +135,7 @@
             rng,
             self._vm_places,
         )
-        self._health = HealthSharing(
-            settings.vm.region, leaders, dict(settings.places)
-        )
+        self._health = HealthSharing(settings.vm.region, leaders, places)
         self._services = ServiceTable(
             settings, self._tuning, self._health, places
         )
@@ -324,9 +322,9 @@
 
     def _update_membership(self, event: Event | Notice) -> None:
         match event:
-            case MemberChanged(vm=vm, region=region, status=MemberStatus.alive):
+            case MemberChanged(vm=vm, status=MemberStatus.alive):
                 self._vm_places.add(vm, event.data_centre)
-                self._health.add_vm(vm, region)
+                self._health.add_vm(vm, self._vm_places.find(vm))
                 self._idle.add_vm(vm)
                 self._statements.add_vm(vm, event.at)
             case MemberChanged(vm=vm, status=status):
@@ -457,8 +455,6 @@
                 return self._deliver_local(outputs, at)
             case ServiceView() as view:
                 return self._apply_view(view, at)
-            case HealthSeen() as seen:
-                return self._health.receive(seen, at)
             case BudgetAsked() as request:
                 answers = self._retries.answer(event.sender, request, at)
                 return self._deliver_local(answers, at)
@@ -469,8 +465,8 @@
                 return self._deliver_local(broadcasts, at)
             case TargetStated() as stated:
                 return self._statements.receive(stated, at)
-            case HealthTold() as message:
-                self._health.apply(message, at)
+            case HealthSeen() | HealthTold() as message:
+                return self._health.receive(message, at)
         return []
 
     def _apply_view(self, view: ServiceView, at: float) -> list[Output]:
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -11,6 +11,7 @@
 from cranberryseam.routing.health import Evidence, FailureEstimate
 from cranberryseam.routing.health_sharing import HealthSharing
 from cranberryseam.routing.messages import HealthSeen, HealthTold
+from cranberryseam.routing.places import Places
 from cranberryseam.routing.target import Target, hash_name
 from cranberryseam.types import VmId
 from tests.attachment.attached_fleet import make_announcement
@@ -18,7 +19,8 @@
 SUCCESS = Evidence.success
 FAILURE = Evidence.failure
 UNRESPONSIVE = Evidence.unresponsive
-PLACES = {'dc-1': 'dar', 'dc-2': 'aru'}
+# Targets are in the first data centre, the second one is in its region.
+PLACES = Places('dc-1', {'dc-1': 'dar', 'dc-2': 'dar', 'dc-3': 'aru'})
 
 
 class FailureEstimateTest(TestCase):
@@ -123,8 +125,8 @@
         which made up a fifth of the control traffic between regions.
         """
         leader, target = self._sharing()
-        leader.add_vm(VmId('near'), 'dar')
-        leader.add_vm(VmId('far'), 'aru')
+        leader.add_vm(VmId('near'), 'dc-1')
+        leader.add_vm(VmId('far'), 'dc-3')
         broadcasts: dict[str, list[float]] = {'near': [], 'far': []}
         timer_at = 5.0
         for step in range(40):
@@ -141,11 +143,11 @@
         self.assertLessEqual(len(broadcasts['far']), 3)
         self.assertGreater(timer_at, 6)
 
-    def test_own_region_is_informed_immediately(self) -> None:
-        """Guards against a change delayed by the batching for other regions."""
+    def test_own_data_centre_is_informed_immediately(self) -> None:
+        """Guards against a change delayed by the batching for other places."""
         leader, target = self._sharing()
-        leader.add_vm(VmId('near'), 'dar')
-        leader.add_vm(VmId('far'), 'aru')
+        leader.add_vm(VmId('near'), 'dc-1')
+        leader.add_vm(VmId('far'), 'dc-3')
         failure = HealthSeen('katalogi', target.name_hash, int(FAILURE))
         success = HealthSeen('katalogi', target.name_hash, int(SUCCESS))
         leader.receive(failure, 5)
@@ -155,11 +157,83 @@
         (timer,) = leader.receive(success, 5.2)
         self.assertLess(timer.at, 5.3)
 
+    @parameterized.expand(
+        [('region', 'dc-2', 0.4), ('other_region', 'dc-3', 1.05)]
+    )
+    def test_delay_elsewhere(
+        self, _: str, data_centre: str, most_s: float
+    ) -> None:
+        """Guards against estimates that grow old outside of a data centre."""
+        leader, target = self._sharing()
+        leader.add_vm(VmId('e2'), data_centre)
+        leader.receive(
+            HealthSeen('katalogi', target.name_hash, int(FAILURE)), 5
+        )
+        (first, *_) = leader.broadcast(5.03)
+        self.assertEqual('e2', first.to)
+        for _ in range(6):
+            seen = HealthSeen('katalogi', target.name_hash, int(SUCCESS))
+            leader.receive(seen, 5.1)
+        (timer,) = leader.broadcast(5.13)
+        self.assertLessEqual(timer.at, 5.03 + most_s)
+
+    def test_messages_do_not_grow_with_vms(self) -> None:
+        """Guards against a message of the leader for each VM and change.
+
+        On a fleet of 294 VMs these were most of the bytes between data centres.
+        """
+        counts = []
+        for vms in (12, 300):
+            leader, target = self._sharing()
+            for number in range(vms):
+                place = PLACES.names[number % 3]
+                leader.add_vm(VmId(f'e{number:03}'), place)
+            failure = HealthSeen('katalogi', target.name_hash, int(FAILURE))
+            leader.receive(failure, 5)
+            counts.append(len(leader.broadcast(5.03)))
+        self.assertEqual(counts[0], counts[1])
+        self.assertLessEqual(counts[1], 6)
+
+    @parameterized.expand([('all_work', -1), ('one_lost', 0), ('other', 1)])
+    def test_relays_reach_all(self, _: str, lost: int) -> None:
+        """Guards against VMs that learn nothing once a relay is lost."""
+        leader, target = self._sharing()
+        vms = [VmId(f'e{number}') for number in range(8)]
+        for vm in vms:
+            leader.add_vm(vm, 'dc-3')
+        failure = HealthSeen('katalogi', target.name_hash, int(FAILURE))
+        leader.receive(failure, 5)
+        reached = set()
+        for number, told in enumerate(leader.broadcast(5.03)):
+            if number == lost:
+                continue
+            relay, relay_target = self._sharing()
+            passed_on = relay.apply(told.message, 5.1)
+            self.assertGreater(relay_target.failure_probability(5.1), 0.7)
+            reached |= {told.to, *(output.to for output in passed_on)}
+            for output in passed_on:
+                self.assertEqual((), output.message.receivers)
+        self.assertEqual(
+            set(vms), reached | {vms[lost]} if lost >= 0 else reached
+        )
+
+    def test_vm_that_left(self) -> None:
+        """Guards against a relay that is gone, and against its list."""
+        leader, target = self._sharing()
+        for name in ('e1', 'e2', 'e3'):
+            leader.add_vm(VmId(name), 'dc-3')
+        leader.remove_vm(VmId('e1'))
+        failure = HealthSeen('katalogi', target.name_hash, int(FAILURE))
+        leader.receive(failure, 5)
+        told = leader.broadcast(5.03)
+        self.assertEqual(['e2', 'e3'], [output.to for output in told])
+        self.assertEqual(('e3',), told[0].message.receivers)
+
     def test_the_last_change_reaches_all(self) -> None:
         """Guards against a last change that is not sent to other regions."""
         leader, target = self._sharing()
         other, other_target = self._sharing()
-        leader.add_vm(VmId('far'), 'aru')
+        leader.add_vm(VmId('far'), 'dc-3')
         leader.receive(
             HealthSeen('katalogi', target.name_hash, int(FAILURE)), 5
         )
@@ -181,7 +255,7 @@
         rng = random.Random(1)
         for _ in range(1000):
             leader, target = self._sharing()
-            leader.add_vm(VmId('far'), 'aru')
+            leader.add_vm(VmId('far'), 'dc-3')
             at = rng.uniform(1, 1000)
             for evidence in (FAILURE, *[SUCCESS] * 6):
                 seen = HealthSeen('katalogi', target.name_hash, int(evidence))
