Weigh the bytes of a request against waiting and failures

Between data centres a request was as cheap for a route of 5 KB bodies as for one of 400 bytes, and the costs of distance were three constants for all fleets.

Change: the settings state what a MB to another data centre and to another region costs, in units of the worth of a request ([transfer], checked, with defaults). A VM learns the bodies of each route from its own requests. The cost is bounded below that of a full target and of one that is believed to fail; another region costs its delay in addition.

--- a/src/cranberryseam/configuration/files.py
+++ b/src/cranberryseam/configuration/files.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Final
 
+import attrs
 from expression import Error, Ok, Result
 
 from ..core.errors import InvalidInput
@@ -55,6 +57,9 @@
         yield 'keys.isolation', actual, _one_of(ISOLATION_SCOPES)
     if settings.keys.freshness_s <= 0:
         yield 'keys.freshness_s', str(settings.keys.freshness_s), 'above 0'
+    for key, cost in attrs.asdict(settings.transfer).items():
+        if not 0 <= cost < math.inf:
+            yield f'transfer.{key}', str(cost), 'a finite cost of 0 or more'
 
 
 def _check_vm(settings: Settings) -> _Problems:
--- a/src/cranberryseam/configuration/settings.py
+++ b/src/cranberryseam/configuration/settings.py
@@ -141,6 +141,25 @@
     early_tokens: float = 0
 
 
+@attrs.frozen
+class TransferSettings:
+    """Cost of traffic that leaves a data centre.
+
+    Targets in the same data centre are preferred by these costs, but never a
+    target that is full or believed to fail.
+
+    Parameters
+    ----------
+    data_centre_per_mb, region_per_mb
+        Cost of a MB to another data centre of the region, and to another
+        region, in units of the worth of a request.
+
+    """
+
+    data_centre_per_mb: float = 50.0
+    region_per_mb: float = 80.0
+
+
 @attrs.frozen
 class StatsdSettings:
     """Address of the statsd server; port 0 disables metrics."""
@@ -209,6 +228,7 @@
     requests: RequestSettings = RequestSettings()
     retries: RetrySettings = RetrySettings()
     limits: LimitSettings = LimitSettings()
+    transfer: TransferSettings = TransferSettings()
     statsd: StatsdSettings = StatsdSettings()
     admin: AdminSettings = AdminSettings()
     seed: int = 0
@@ -239,5 +259,6 @@
     'RetrySettings',
     'Settings',
     'StatsdSettings',
+    'TransferSettings',
     'VmSettings',
 )
--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -131,6 +131,8 @@
         Value of ``Host`` without the port.
     caller_request_id
         Identifier that the caller assigned to the request, for logs.
+    body_bytes
+        Length of the body; 0 if it is not stated.
 
     """
 
@@ -144,6 +146,7 @@
     minute_of_day: int = 0
     host: str = ''
     caller_request_id: str = ''
+    body_bytes: int = 0
 
 
 @attrs.frozen
@@ -242,6 +245,8 @@
         The answer if it is complete and small enough to store.
     statement
         What the target says of itself.
+    body_bytes
+        Length of the body as far as it has been received.
 
     """
 
@@ -253,6 +258,7 @@
     retry_after_s: float | None = None
     answer: StoredAnswer | None = None
     statement: TargetStatement = TargetStatement()
+    body_bytes: int = 0
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/active_requests.py
+++ b/src/cranberryseam/requests/active_requests.py
@@ -11,6 +11,7 @@
 from ..types import AttemptId, Output, RequestId
 from .collaborators import Collaborators
 from .log_lines import describe_refusal
+from .route_sizes import RouteSizes
 from .state import ActiveAttempt, RequestState, Stage
 
 _Outputs = list[Output]
@@ -26,11 +27,14 @@
     ----------
     collaborators
         The components to which tokens, claims and slots are returned.
+    sizes
+        Sizes of the bodies on the routes.
 
     """
 
     collaborators: Collaborators
     states: dict[RequestId, RequestState] = attrs.field(factory=dict)
+    sizes: RouteSizes = attrs.field(factory=RouteSizes)
 
     def find(self, request_id: RequestId, stage: Stage) -> RequestState | None:
         """Return a request if it is in the stage."""
--- a/src/cranberryseam/requests/attempt_builders.py
+++ b/src/cranberryseam/requests/attempt_builders.py
@@ -9,6 +9,7 @@
 from ..core import notices as nt
 from ..routing.model import AdmitRequest
 from ..types import AttemptId, RequestId
+from .route_sizes import RouteSizes
 from .state import ActiveAttempt, RequestState
 
 # Time after the deadline for an answer in transfer to complete. Callers that
@@ -41,7 +42,10 @@
 
 
 def build_slot_request(
-    state: RequestState, slot_id: RequestId, attempt_number: int
+    state: RequestState,
+    slot_id: RequestId,
+    attempt_number: int,
+    sizes: RouteSizes,
 ) -> AdmitRequest:
     """Return the slot request for an attempt.
 
@@ -51,6 +55,8 @@
         Identifies the slot to the router.
     attempt_number
         1 for the first attempt of the request.
+    sizes
+        Sizes of the bodies on the routes.
 
     """
     return AdmitRequest(
@@ -66,6 +72,7 @@
         rank=state.rank,
         objective_s=state.route.objective_s,
         limited_by_stop=state.limited_by_stop,
+        body_bytes=sizes.expect(state.route.name),
     )
 
 
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -63,7 +63,10 @@
         state.stage = Stage.slot
         state.attempt_count += 1
         slot_request = build_slot_request(
-            state, state.request_id, state.attempt_count
+            state,
+            state.request_id,
+            state.attempt_count,
+            self._requests.sizes,
         )
         return list(self._router.admit(slot_request, at))
 
@@ -168,6 +171,8 @@
         if state is None or primary is None:
             return hedged
         outcome = classify_answer(event)
+        transferred = state.head.body_bytes + event.body_bytes
+        self._requests.sizes.record(state.route.name, transferred)
         line = describe_attempt(
             state,
             primary,
--- a/src/cranberryseam/requests/hedging.py
+++ b/src/cranberryseam/requests/hedging.py
@@ -147,7 +147,7 @@
         state.excluded |= {first.target}
         slot_id = self._ids.next_slot_id()
         slot_request = build_slot_request(
-            state, slot_id, state.attempt_count + 1
+            state, slot_id, state.attempt_count + 1, self._requests.sizes
         )
         assigned = self._router.assign_now(slot_request, at)
         if assigned is None:
--- a/src/cranberryseam/routing/model.py
+++ b/src/cranberryseam/routing/model.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from ..configuration.settings import TransferSettings
 from ..types import AccountId, RequestId, ServiceName, TargetId, VmId
+from .transfer_costs import TransferCosts
 
 COMPONENT = 'routing'
 # Each service queues requests of its long routes in a lane of their own, so
@@ -62,6 +64,8 @@
         request could not be answered.
     objective_s
         Latency objective of the route; 0 if there is none.
+    body_bytes
+        Expected size of the bodies of the request and its response.
 
     """
 
@@ -77,6 +81,7 @@
     rank: int = 0
     objective_s: float = 0
     limited_by_stop: bool = False
+    body_bytes: float = 2000
 
 
 class LeaderLookup(Protocol):
@@ -125,9 +130,8 @@
     regions
         Number of regions of the fleet, assumed to have equal load until their
         demand is known.
-    distance_costs
-        Cost of a request to the own data centre, the own region and another
-        region, in units of the whole capacity of a target.
+    transfer_costs
+        Cost of requests that leave the data centre of their VM.
     discovery_s
         Time after its first configuration within which a VM may not yet know
         all existing targets; 0 if it learns of all at once.
@@ -153,7 +157,7 @@
     health_sharing_enabled: bool = False
     load_report_threshold: float = 0
     regions: int = 1
-    distance_costs: tuple[float, float, float] = (0, 0.6, 1.5)
+    transfer_costs: TransferCosts = TransferCosts.build(TransferSettings())
     discovery_s: float = 0
 
 
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -60,6 +60,7 @@
 from .services import ServiceTable
 from .shared_budget import SharedRetryBudget
 from .statements import StatementSharing
+from .transfer_costs import TransferCosts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -115,7 +116,9 @@
         self._id = settings.vm_id
         self._rng = rng
         self._tuning = attrs.evolve(
-            tuning or Tuning(), regions=_count_regions(settings)
+            tuning or Tuning(),
+            regions=_count_regions(settings),
+            transfer_costs=TransferCosts.build(settings.transfer),
         )
         places = Places(settings.vm.data_centre, dict(settings.places))
         self._vm_places = VmPlaces(places)
--- a/src/cranberryseam/routing/selection.py
+++ b/src/cranberryseam/routing/selection.py
@@ -6,6 +6,7 @@
 
 from .load_planning import Candidate, plan_loads
 from .model import LONG_LANE
+from .transfer_costs import FINAL_FAILURE_COST
 
 if TYPE_CHECKING:
     import random
@@ -26,9 +27,7 @@
 # expected wait in its own region is longer.
 _REGION_ROUND_TRIP_S = 0.06
 _TRIAL_DEADLINE_FACTOR = 4.0
-# Costs in units of the whole capacity of a target. A failure that can't be
-# retried loses the answer; one that can costs a second attempt.
-_FINAL_FAILURE_COST = 5.0
+# A failure that can be retried costs a second attempt.
 _RETRIABLE_FAILURE_COST = 3.0
 # A new connection takes a round trip and briefly a slot of the target.
 _CONNECT_COST = 0.1
@@ -96,6 +95,7 @@
         Idle targets come first with their own share: an estimate changes only
         with outcomes, so a target avoided after a failure would stay unused.
         """
+        self._state.record_size(self._request.body_bytes)
         if self._may_repeat:
             self._state.retriable_at = self._at
         idle = self._choose_idle()
@@ -161,7 +161,7 @@
         """Return the cost of distance, failure risk and a new connection."""
         # Most routes allow two attempts, so the second one is the last.
         failure_cost = (
-            _RETRIABLE_FAILURE_COST if self._may_repeat else _FINAL_FAILURE_COST
+            _RETRIABLE_FAILURE_COST if self._may_repeat else FINAL_FAILURE_COST
         )
         chance = target.failure_probability(self._at)
         cost = failure_cost * chance + self._distance_cost(target)
@@ -172,7 +172,9 @@
         )
 
     def _distance_cost(self, target: Target) -> float:
-        return self._state.tuning.distance_costs[target.distance]
+        return self._state.tuning.transfer_costs.measure(
+            target.distance, self._request.body_bytes
+        )
 
     def _find_trial(self) -> Target | None:
         request = self._request
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -29,6 +29,7 @@
 # Above this load requests begin to queue at the targets.
 _MAX_HEDGE_LOAD = 0.6
 _RATE_SMOOTHING = 0.3
+_SIZE_SMOOTHING = 0.1
 _SLOW_FACTOR = 3.0
 _MIN_SLOW_SAMPLES = 30
 _OTHER_REGION_EXTRA_S = 0.06
@@ -61,6 +62,7 @@
         self.places = places
         self.demand_by_place = Demand()
         self._foreign_loads: dict[str, float] | None = None
+        self._body_bytes: float = 0
         self.tuning = tuning
         self.floor = _DEFAULT_FLOOR
         # Slots in use by all VMs at all targets, as reported by the leader.
@@ -97,6 +99,10 @@
         )
         self._foreign_loads = None
 
+    def record_size(self, body_bytes: float) -> None:
+        """Update the mean size of the bodies of its requests."""
+        self._body_bytes += _SIZE_SMOOTHING * (body_bytes - self._body_bytes)
+
     def foreign_loads(self, at: float) -> Mapping[str, float]:
         """Return the utilisation of targets by other data centres."""
         targets = self.eligible_targets(at)
@@ -110,7 +116,7 @@
                 self.demand_by_place,
                 capacities,
                 self.places,
-                self.tuning.distance_costs,
+                self.tuning.transfer_costs.list_by_distance(self._body_bytes),
             )
         return self._foreign_loads
 
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -11,6 +11,7 @@
 from ..core.events import Announcement, TargetState, TargetStatement
 from .health import FailureEstimate
 from .messages import OutcomeRow
+from .places import Distance
 from .rate_limits import RateLimit
 
 _DECAY_S = 10.0
@@ -79,7 +80,7 @@
     name_hash
         32-bit hash of its name.
     distance
-        0 in the data centre of this VM, 1 in its region, 2 elsewhere.
+        From the data centre of this VM.
     ramp_started_at
         Time at which it became ready after a cold start; 0 if unknown.
     limit
@@ -110,7 +111,7 @@
 
     announcement: Announcement
     name_hash: int
-    distance: int
+    distance: Distance
     silent: bool = False
     ramp_started_at: float = 0
     in_use: int = 0
--- a/src/cranberryseam/serving/arrivals.py
+++ b/src/cranberryseam/serving/arrivals.py
@@ -41,6 +41,7 @@
             minute_of_day=find_minute_of_day(time.time(), utc_offset_minutes),
             host=head.host.decode('latin-1').partition(':')[0].lower(),
             caller_request_id=head.caller_request_id.decode('latin-1'),
+            body_bytes=head.content_length or 0,
         ),
     )
 
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -242,6 +242,7 @@
                 retry_after_s=response.retry_after_s,
                 answer=response.store() if effect.keep_answer else None,
                 statement=response.statement,
+                body_bytes=len(response.buffered),
             )
         )
 
--- a/tests/configuration/test_files.py
+++ b/tests/configuration/test_files.py
@@ -68,6 +68,21 @@
         keys = [problem.key for problem in parsed.error.problems]
         self.assertIn(key, keys)
 
+    @parameterized.expand(
+        [
+            ('negative', 'data_centre_per_mb', '-1'),
+            ('infinite', 'region_per_mb', 'inf'),
+            ('not_a_number', 'region_per_mb', 'nan'),
+            ('text', 'region_per_mb', '"dear"'),
+        ]
+    )
+    def test_bad_transfer_costs(self, _: str, key: str, value: str) -> None:
+        """Guards against costs that make every target equally bad."""
+        text = f'{SETTINGS}\n[transfer]\n{key} = {value}\n'
+        parsed = parse_settings('s', text)
+        keys = [problem.key for problem in parsed.error.problems]
+        self.assertIn(f'transfer.{key}', keys)
+
     def test_deeply_nested(self) -> None:
         """Guards against an exception in place of an error message."""
         nested = 'regions = {}{}'.format('[' * 50_000, ']' * 50_000)
--- a/tests/routing/test_demand.py
+++ b/tests/routing/test_demand.py
@@ -23,7 +23,7 @@
 
 from .sparse_traffic import SparseTraffic, Traffic
 
-COSTS = ATTACHED_TUNING.distance_costs
+COSTS = ATTACHED_TUNING.transfer_costs.list_by_distance(5000)
 SIX = {f'{region}{number}': region for region in 'abc' for number in (1, 2)}
 NINE = {f'{region}{number}': region for region in 'abc' for number in (1, 2, 3)}
 # Utilisation above which a data centre is not evenly loaded with its plan.
