Count bytes by purpose and distance

Nobody could say what crosses data centres and why: the counters of bytes by message kind had no distance, bodies of callers weren't counted, received messages only as a sum.

Change: messages between VMs are counted by kind and distance in both directions, bodies of requests and answers by distance; `cranberryseam fleet traffic` adds them up by purpose. The leader tells its data centre to a VM that has just found it. Places of data centres move to configuration/, because the attachment measures distances too.

--- a/src/cranberryseam/attachment/client.py
+++ b/src/cranberryseam/attachment/client.py
@@ -9,10 +9,12 @@
 import attrs
 
 from ..configuration.model import Configuration
+from ..configuration.places import Places
 from ..configuration.settings import Settings
 from ..core.effects import (
     Effect,
     IncrementCounter,
+    PlacePeer,
     SendMessage,
     SetTimer,
     WriteLog,
@@ -78,6 +80,7 @@
         self._vm = settings.vm_id
         self._region = settings.vm.region
         self._data_centre = settings.vm.data_centre
+        self._places = Places(self._data_centre, dict(settings.places))
         self._is_control = 'control' in settings.vm.roles
         self._rng = rng
         self._seeds = settings.control.seeds
@@ -187,6 +190,7 @@
         self._replied_at = max(self._replied_at, reply.sent_at)
         confirmed_at = reply.sent_at - reply.age_s
         outputs: list[Output] = [
+            *self._place(sender, reply.data_centre),
             *count_changes,
             *self._apply_configuration(reply, at),
             *self._apply_rows(reply, at),
@@ -204,6 +208,12 @@
             )
         return outputs
 
+    def _place(self, sender: VmId, data_centre: str) -> list[Output]:
+        if not data_centre:
+            return []
+        distance = self._places.measure(self._data_centre, data_centre)
+        return [PlacePeer(sender, distance.name)]
+
     def _record_contact(self, reply: PollReply, at: float) -> None:
         if reply.term != self._term:
             self._term = reply.term
--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -97,6 +97,8 @@
         Time of the reply on the clock of the leader.
     vm_rank
         Rank of the receiver among the VMs, from 0 to ``vm_count`` - 1.
+    data_centre
+        Data centre of the leader, for a receiver that has just found it.
 
     """
 
@@ -113,6 +115,7 @@
     departed: tuple[Departure, ...] = ()
     answered_at: float = 0
     vm_rank: int = 0
+    data_centre: str = ''
 
 
 class LeaderHint(Message, frozen=True, array_like=True, tag=_LEADER_HINT_TAG):
--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -7,12 +7,14 @@
 from typing import Final, Protocol
 
 from ..configuration.entries import TargetDeparted
+from ..configuration.places import Places
 from ..configuration.settings import Settings
 from ..control.replica import LeaderStatus
 from ..core.commands import OutcomeUnknown
 from ..core.effects import (
     AnswerAnnouncement,
     IncrementCounter,
+    PlacePeer,
     SendMessage,
     SetTimer,
     WriteLog,
@@ -111,7 +113,7 @@
         """Create a server with an empty table."""
         self._contacts = contacts
         self._vm = settings.vm_id
-        self._regions_by_data_centre = dict(settings.places)
+        self._places = Places(settings.vm.data_centre, dict(settings.places))
         self._replica = replica
         self._follower_table = follower_table
         self._term = 0
@@ -196,9 +198,18 @@
             self._ranks.clear()
         if known and not data_centre:
             return []
-        region = self._regions_by_data_centre.get(data_centre, '')
+        region = self._places.regions.get(data_centre, '')
         status = MemberStatus.alive
-        return [MemberChanged(at, vm, region, status, data_centre)]
+        return [
+            MemberChanged(at, vm, region, status, data_centre),
+            *self._place(vm, data_centre),
+        ]
+
+    def _place(self, vm: VmId, data_centre: str) -> list[Output]:
+        if not data_centre:
+            return []
+        distance = self._places.measure(self._places.own, data_centre)
+        return [PlacePeer(vm, distance.name)]
 
     def _record_contact(self, vm: VmId, poll: Poll, at: float) -> None:
         if self._find_leader_status(at) is None:
@@ -273,6 +284,7 @@
             departed=self._table.departures.list_after(after),
             answered_at=at,
             vm_rank=self._find_rank(vm),
+            data_centre=self._places.own if poll.data_centre else '',
         )
 
     def _forward_announcement(self, event: TargetAnnounced) -> list[Output]:
--- a/src/cranberryseam/cli/fleet.py
+++ b/src/cranberryseam/cli/fleet.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from collections import Counter
 from typing import Any, Final
 
 from .client import ApiResult
@@ -15,6 +16,7 @@
     print_json,
     print_table,
 )
+from .traffic import summarise_traffic
 
 POLL_INTERVAL_S: Final = 0.5
 
@@ -154,11 +156,7 @@
 
     def refusals(self) -> None:
         """Show refusals and retries by reason, summed over the addresses."""
-        totals: dict[str, int] = {}
-        results = self._connect().request_all('GET', '/v1/counters')
-        for result in results.values():
-            for counter, count in unwrap_or_exit(result).items():
-                totals[counter] = totals.get(counter, 0) + count
+        totals = self._sum_counters()
         rows = [
             {'counter': name, 'count': totals[name]}
             for name in sorted(totals)
@@ -169,11 +167,30 @@
             return
         print_table(rows, 'counter count')
 
+    def traffic(self) -> None:
+        """Show bytes by purpose and distance, summed over the addresses.
+
+        Bytes between VMs are counted where they are sent, before the overhead
+        of the connection.
+        """
+        rows = summarise_traffic(self._sum_counters())
+        if self._as_json:
+            print_json(rows)
+            return
+        print_table(rows, 'purpose distance bytes')
+
     def drain(self, address: str) -> None:
         """Drain the VM at an address; requests in progress end first."""
         answer = self._connect().request(address, 'POST', '/v1/drain')
         print_json(unwrap_or_exit(answer))
 
+    def _sum_counters(self) -> Counter[str]:
+        totals: Counter[str] = Counter()
+        results = self._connect().request_all('GET', '/v1/counters')
+        for result in results.values():
+            totals.update(unwrap_or_exit(result))
+        return totals
+
 
 class ControlCommands:
     """Show and replace control replicas."""
--- a/src/cranberryseam/core/effects.py
+++ b/src/cranberryseam/core/effects.py
@@ -57,6 +57,21 @@
     address: str
 
 
+@attrs.frozen
+class PlacePeer(Effect):
+    """Record the distance of a VM, for the counters of bytes.
+
+    Parameters
+    ----------
+    distance
+        Name of a ``Distance``.
+
+    """
+
+    vm: VmId
+    distance: str
+
+
 @attrs.frozen
 class StartAttempt(Effect):
     """Send a request to a target.
@@ -200,6 +215,7 @@
     'IncrementCounter',
     'ObserveLatency',
     'RefuseRequest',
+    'PlacePeer',
     'RegisterPeer',
     'ReplayAnswer',
     'SendMessage',
--- a/src/cranberryseam/core/notices.py
+++ b/src/cranberryseam/core/notices.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..configuration.places import Distance
 from ..types import KeyId, RequestId, TargetId, VmId
 from .refusals import Executed, RefusalReason
 
@@ -209,6 +210,7 @@
     target: TargetId
     host: str
     port: int
+    distance: Distance = Distance.own_data_centre
 
 
 @attrs.frozen
--- a/src/cranberryseam/daemon/peers.py
+++ b/src/cranberryseam/daemon/peers.py
@@ -13,8 +13,9 @@
 import pynng
 
 from ..core.codec import Codec
-from ..core.effects import Effect, RegisterPeer, SendMessage
+from ..core.effects import Effect, PlacePeer, RegisterPeer, SendMessage
 from ..core.events import MessageReceived
+from ..core.messages import Message
 from ..types import VmId
 from .metrics import Metrics
 
@@ -28,6 +29,8 @@
 RECONNECT_MIN_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 MAX_MESSAGE_BYTES: Final = 16_777_216
+# Distance of a VM whose data centre this VM doesn't know.
+UNKNOWN_DISTANCE: Final = 'unknown'
 # Each message acknowledges the last one received from the other side. This
 # detects a connection that loses messages without a reset, even if the
 # connection of the opposite direction works. An acknowledgement takes one round
@@ -121,6 +124,7 @@
         self._addresses: dict[VmId, str] = {}
         self._sockets: OrderedDict[VmId, pynng.Push0] = OrderedDict()
         self._links: dict[VmId, Link] = {}
+        self._distances: dict[VmId, str] = {}
 
     @property
     def address(self) -> str:
@@ -135,6 +139,9 @@
         if isinstance(effect, RegisterPeer):
             self.register(effect.vm, effect.address)
             return True
+        if isinstance(effect, PlacePeer):
+            self._distances[effect.vm] = effect.distance
+            return True
         return False
 
     def register(self, vm: VmId, address: str) -> None:
@@ -160,6 +167,7 @@
                 self._metrics.increment('peers.undecodable')
                 continue
             envelope = decoded.ok
+            self._count('received', envelope.sender, envelope.message, len(raw))
             link = self._get_link(envelope.sender)
             now = time.monotonic()
             link.record_receipt(envelope.sequence, envelope.acknowledged, now)
@@ -190,8 +198,16 @@
             return
         self._metrics.increment('peers.messages_sent')
         self._metrics.increment('peers.bytes_sent', len(raw))
-        kind = type(effect.message).__name__
-        self._metrics.increment(f'peers.bytes_sent.{kind}', len(raw))
+        self._count('sent', effect.to, effect.message, len(raw))
+
+    def _count(
+        self, direction: str, vm: VmId, message: Message, size: int
+    ) -> None:
+        """Count the bytes of a message by its kind and its distance."""
+        kind = type(message).__name__
+        distance = self._distances.get(vm, UNKNOWN_DISTANCE)
+        name = f'peers.bytes_{direction}.{kind}.{distance}'
+        self._metrics.increment(name, size)
 
     def _get_link(self, vm: VmId) -> Link:
         link = self._links.get(vm)
--- a/src/cranberryseam/requests/attempt_builders.py
+++ b/src/cranberryseam/requests/attempt_builders.py
@@ -33,6 +33,7 @@
             assigned.target,
             assigned.request_id,
             assigned.at,
+            assigned.distance,
         )
 
     def next_slot_id(self) -> RequestId:
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -181,7 +181,15 @@
             status=event.status,
             not_run=event.not_run,
         )
-        return [*hedged, line, *self._process_answer(state, event, outcome)]
+        traffic = fx.IncrementCounter(
+            f'bodies.bytes.{primary.distance.name}', transferred
+        )
+        return [
+            *hedged,
+            line,
+            traffic,
+            *self._process_answer(state, event, outcome),
+        ]
 
     def _process_answer(
         self,
--- a/src/cranberryseam/requests/state.py
+++ b/src/cranberryseam/requests/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..configuration.model import Route
+from ..configuration.places import Distance
 from ..core.events import RequestHead
 from ..core.notices import TokenSource
 from ..routing.model import AttemptOutcome
@@ -44,6 +45,7 @@
     target: TargetId
     slot_id: RequestId
     started_at: float
+    distance: Distance = Distance.own_data_centre
     released: bool = False
 
 
--- a/src/cranberryseam/routing/admission.py
+++ b/src/cranberryseam/routing/admission.py
@@ -149,6 +149,7 @@
             announcement.target,
             announcement.host,
             announcement.port,
+            target.distance,
         )
 
     def _enqueue(
--- a/src/cranberryseam/routing/demand.py
+++ b/src/cranberryseam/routing/demand.py
@@ -12,8 +12,8 @@
 
 import attrs
 
+from ..configuration.places import Distance, Places
 from .load_planning import Candidate, plan_loads
-from .places import Distance, Places
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/src/cranberryseam/routing/health_sharing.py
+++ b/src/cranberryseam/routing/health_sharing.py
@@ -8,13 +8,13 @@
 
 import attrs
 
+from ..configuration.places import Distance, Places
 from ..core.effects import SendMessage, SetTimer
 from ..types import VmId
 from .health import PERCENT, Evidence, FailureEstimate
 from .leadership import shard_key
 from .messages import HealthSeen, HealthTold
 from .model import COMPONENT, LeaderLookup
-from .places import Distance, Places
 
 if TYPE_CHECKING:
     from ..types import Output
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..configuration.places import Places
 from ..core.commands import ShowTargets
 from ..core.effects import SendMessage, SetTimer
 from ..core.events import (
@@ -55,7 +56,7 @@
     LeaderLookup,
     Tuning,
 )
-from .places import Places, VmPlaces
+from .places import VmPlaces
 from .reporting import ReportScheduler, apply_view
 from .services import ServiceTable
 from .shared_budget import SharedRetryBudget
--- a/src/cranberryseam/routing/service.py
+++ b/src/cranberryseam/routing/service.py
@@ -6,13 +6,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from ..configuration.places import Places
 from .accounts import AccountEvidence
 from .demand import Demand, plan_foreign_loads
 from .fair_queue import FairQueue
 from .latency import LatencyWindow
 from .messages import EjectedRow
 from .model import INTERACTIVE_LANE, LONG_LANE, Tuning
-from .places import Places
 from .target import Target
 from .views import RegionView, limit_to_floor
 
--- a/src/cranberryseam/routing/services.py
+++ b/src/cranberryseam/routing/services.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .places import Distance, Places
+from ..configuration.places import Distance, Places
 from .service import ServiceState
 from .target import Target, hash_name
 
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -8,10 +8,10 @@
 import attrs
 import xxhash
 
+from ..configuration.places import Distance
 from ..core.events import Announcement, TargetState, TargetStatement
 from .health import FailureEstimate
 from .messages import OutcomeRow
-from .places import Distance
 from .rate_limits import RateLimit
 
 _DECAY_S = 10.0
--- a/src/cranberryseam/routing/transfer_costs.py
+++ b/src/cranberryseam/routing/transfer_costs.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from .places import Distance
+from ..configuration.places import Distance
 
 if TYPE_CHECKING:
     from ..configuration.settings import TransferSettings
--- a/tests/routing/test_demand.py
+++ b/tests/routing/test_demand.py
@@ -12,6 +12,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from cranberryseam.configuration.places import Places
 from cranberryseam.routing import ATTACHED_TUNING
 from cranberryseam.routing.demand import (
     Demand,
@@ -19,7 +20,6 @@
     plan_foreign_loads,
 )
 from cranberryseam.routing.load_planning import MAX_LOAD, Candidate, plan_loads
-from cranberryseam.routing.places import Places
 
 from .sparse_traffic import SparseTraffic, Traffic
 
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -7,11 +7,11 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from cranberryseam.configuration.places import Places
 from cranberryseam.core.effects import SendMessage
 from cranberryseam.routing.health import Evidence, FailureEstimate
 from cranberryseam.routing.health_sharing import HealthSharing
 from cranberryseam.routing.messages import HealthSeen, HealthTold
-from cranberryseam.routing.places import Places
 from cranberryseam.routing.target import Target, hash_name
 from cranberryseam.types import VmId
 from tests.attachment.attached_fleet import make_announcement
--- a/tests/routing/test_transfer_costs.py
+++ b/tests/routing/test_transfer_costs.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from cranberryseam.configuration.places import Distance
 from cranberryseam.configuration.settings import (
     Addresses,
     Settings,
@@ -23,7 +24,6 @@
     AttemptOutcome,
     Router,
 )
-from cranberryseam.routing.places import Distance
 from cranberryseam.routing.transfer_costs import TransferCosts
 from cranberryseam.types import AccountId, RequestId, ServiceName
 from tests.attachment.attached_fleet import make_announcement
