Check the key of a request again before each attempt

A VM that was paused or delayed could send a request under a key that had been withdrawn meanwhile: the key was checked when the request arrived, and again only by a timer and on a known withdrawal.

Change: each attempt checks the key, whose freshness counts the time of a pause. The refusal says "not run" only if no earlier attempt may have run.

--- a/src/cranberryseam/requests/active_requests.py
+++ b/src/cranberryseam/requests/active_requests.py
@@ -55,6 +55,15 @@
             return None
         return state
 
+    def find_key_refusal(
+        self, state: RequestState, at: float
+    ) -> Refusal | None:
+        """Return why the key of a request is not accepted now, if so."""
+        if state.key_hash is None:
+            return None
+        checked = self.collaborators.keys.check(state.key_hash, at)
+        return checked.error if checked.is_error() else None
+
     def refuse(
         self, state: RequestState, refusal: Refusal, at: float
     ) -> _Outputs:
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+import attrs
+
 from ..core import effects as fx
 from ..core import events as ev
 from ..core import notices as nt
@@ -78,10 +80,13 @@
         left_s = state.deadline_at - notice.at
         if left_s <= 0:
             refusal = Refusal(RefusalReason.queue_timeout, _get_executed(state))
-            return [
-                *self._router.cancel(state.request_id, notice.at),
-                *self._requests.refuse(state, refusal, notice.at),
-            ]
+            return self._refuse_start(state, refusal, notice.at)
+        # The key may have been withdrawn while the request waited, or this VM
+        # may have been paused since it checked the key.
+        key_refusal = self._requests.find_key_refusal(state, notice.at)
+        if key_refusal is not None:
+            refusal = attrs.evolve(key_refusal, ran=_get_executed(state))
+            return self._refuse_start(state, refusal, notice.at)
         state.stage = Stage.answer
         primary = self._ids.create_attempt(notice)
         state.primary = primary
@@ -145,6 +150,14 @@
             count_refusal(RefusalReason.answer_incomplete),
         ]
 
+    def _refuse_start(
+        self, state: RequestState, refusal: Refusal, at: float
+    ) -> _Outputs:
+        return [
+            *self._router.cancel(state.request_id, at),
+            *self._requests.refuse(state, refusal, at),
+        ]
+
     def _record_statement(self, event: ev.AnswerReady) -> _Outputs:
         state = self._requests.find(event.request_id, Stage.answer)
         if state is None:
@@ -181,9 +194,8 @@
             status=event.status,
             not_run=event.not_run,
         )
-        traffic = fx.IncrementCounter(
-            f'bodies.bytes.{primary.distance.name}', transferred
-        )
+        distance = primary.distance.name
+        traffic = fx.IncrementCounter(f'bodies.bytes.{distance}', transferred)
         return [
             *hedged,
             line,
--- a/src/cranberryseam/requests/coordinator.py
+++ b/src/cranberryseam/requests/coordinator.py
@@ -314,14 +314,11 @@
     def _find_key_refusal(
         self, state: RequestState, at: float
     ) -> Refusal | None:
-        if state.key_hash is None:
-            return None
         # A running attempt that must not be repeated is left to complete, so
         # that its outcome is known. No new attempt starts under the key.
         if state.stage is Stage.answer and not state.retriable:
             return None
-        checked = self._collaborators.keys.check(state.key_hash, at)
-        return checked.error if checked.is_error() else None
+        return self._requests.find_key_refusal(state, at)
 
 
 def _refuse_arrival(event: ev.RequestArrived, refusal: Refusal) -> _Outputs:
--- a/src/cranberryseam/requests/hedging.py
+++ b/src/cranberryseam/requests/hedging.py
@@ -76,6 +76,8 @@
         is_current = primary.attempt_id == int(attempt_text)
         if not (is_current and self._may_hedge(state)):
             return []
+        if self._requests.find_key_refusal(state, at) is not None:
+            return []
         if not self._router.acquire_retry(state.service, state.account, at):
             return [fx.IncrementCounter('hedges.no_budget')]
         return self._start(state, primary, at)
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -11,11 +11,16 @@
 
 from cranberryseam.core import effects as fx
 from cranberryseam.core import events as ev
-from cranberryseam.core.notices import KeysWithdrawn, Notice, SlotDenied
+from cranberryseam.core.notices import (
+    KeysWithdrawn,
+    Notice,
+    SlotAssigned,
+    SlotDenied,
+)
 from cranberryseam.core.refusals import Executed, RefusalReason
 from cranberryseam.requests.attempt_builders import ANSWER_END_GRACE_S
 from cranberryseam.routing.model import AttemptOutcome
-from cranberryseam.types import AttemptId, RequestId
+from cranberryseam.types import AttemptId, RequestId, TargetId
 
 from .fakes import FakeCollaborators, build_coordinator, build_head
 
@@ -274,6 +279,40 @@
         self.assertEqual(fakes.cancelled, [REQUEST_ID])
         self.assertEqual(fakes.completed, [(REQUEST_ID, Executed.no)])
 
+    @parameterized.expand(
+        [
+            ('first', (), Executed.no),
+            ('after_failure', (FAILURE.not_sent,), Executed.no),
+            ('after_lost_answer', (FAILURE.no_answer,), Executed.unknown),
+        ]
+    )
+    def test_key_expired_while_waiting(
+        self,
+        _: str,
+        failures: tuple[ev.AttemptFailure, ...],
+        executed: Executed,
+    ) -> None:
+        """Guards against an attempt under a key that is no longer accepted.
+
+        A VM that was paused for some seconds used the check of the key from
+        before the pause for the requests that waited for a target.
+        """
+        fakes = FakeCollaborators(withhold_slots=not failures)
+        driver = _Driver(fakes)
+        driver.apply(_make_arrival(build_head('GET')))
+        fakes.withhold_slots = True
+        for failure in failures:
+            sent = failure is FAILURE.no_answer
+            driver.apply(_make_failure(1, failure, sent))
+        fakes.withdrawn = True
+        assigned = SlotAssigned(6, REQUEST_ID, TargetId('t9'), '127.0.0.1', 1)
+        effects = driver.apply(assigned)
+        self.assertIsInstance(effects[-1], fx.RefuseRequest)
+        self.assertIs(effects[-1].refusal.reason, RefusalReason.key_withdrawn)
+        self.assertIs(effects[-1].refusal.ran, executed)
+        self.assertEqual([REQUEST_ID], fakes.cancelled)
+        self.assertEqual(driver.coordinator.in_progress, 0)
+
     @parameterized.expand(
         [
             ('waiting', 'POST', True, None, fx.RefuseRequest, Executed.no),
