Answer the requests that a stopping process has accepted

At the end of a planned stop, callers lost requests that had just been accepted: connections in the queue of the listener were reset when it was closed, and accepted connections whose request had not been read yet were closed at once, because the HTTP server closes all idle connections first (reported by other operators).

Ruled out: closing the server's socket before a last accept; the event loop then drops connections that it has accepted but not attached, and callers hang.

Change: the process accepts connections itself; at a stop it accepts those that wait, closes the listener, and leaves all connections open for 0.1 s more, in which requests that were already sent are answered. Running out of descriptors pauses accepting for 0.2 s.

--- a/src/cranberryseam/serving/listener.py
+++ b/src/cranberryseam/serving/listener.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import logging
 import socket
-from collections.abc import Awaitable, Callable
-from typing import Any
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final
 
-from hypercorn.asyncio import serve
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 
 from ..configuration.settings import RequestSettings
@@ -20,6 +25,16 @@
 _BACKLOG = 512
 # Requests after which the server closes a connection.
 _REQUESTS_PER_CONNECTION = 1_000_000
+# A request that was sent before its caller learned of the stop arrives within
+# this time and is answered.
+_LINGER_S: Final = 0.1
+# Part of the time until the exit that the linger may take.
+_MAX_LINGER_SHARE: Final = 0.25
+# Descriptors or memory are exhausted; accepting is tried again later.
+_EXHAUSTED: Final = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+_EXHAUSTED_PAUSE_S: Final = 0.2
 _log = logging.getLogger(__name__)
 
 
@@ -56,11 +71,129 @@
         Returns when no more connections should be accepted.
 
     """
+    config = _build_config(limits)
+    connections = _Connections(app, config)
+    with _accept(listener, connections.add):
+        await wait_for_stop()
+    linger_s = min(_LINGER_S, limits.exit_s * _MAX_LINGER_SHARE)
+    await asyncio.sleep(linger_s)
+    await connections.close(limits.exit_s - linger_s)
+
+
+@contextmanager
+def _accept(
+    listener: socket.socket, add: Callable[[socket.socket], None]
+) -> Iterator[None]:
+    """Accept connections; at the end those that wait to be accepted, too.
+
+    Closing the listener before would reset them, with their requests.
+    """
+    with listener:
+        acceptor = _Acceptor(listener, add)
+        acceptor.resume()
+        yield
+        acceptor.stop()
+
+
+class _Acceptor:
+    """Accepts connections when the listener has some.
+
+    Parameters
+    ----------
+    add
+        Called with each accepted connection.
+
+    """
+
+    def __init__(
+        self, listener: socket.socket, add: Callable[[socket.socket], None]
+    ) -> None:
+        """Start without accepting."""
+        listener.setblocking(False)  # noqa: WPS425 (positional only)
+        self._listener = listener
+        self._add = add
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def resume(self) -> None:
+        """Accept connections from now on."""
+        self._loop.add_reader(self._listener, self._accept_pending)
+
+    def stop(self) -> None:
+        """Accept the connections that wait, and no others."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._loop.remove_reader(self._listener)
+        self._accept_pending()
+
+    def _accept_pending(self) -> None:
+        connection = self._accept_one()
+        while connection is not None:
+            self._add(connection)
+            connection = self._accept_one()
+
+    def _accept_one(self) -> socket.socket | None:
+        try:
+            return self._listener.accept()[0]
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            _log.warning('connection not accepted: %s', error)
+            if error.errno in _EXHAUSTED:
+                self._loop.remove_reader(self._listener)
+                self._timer = self._loop.call_later(
+                    _EXHAUSTED_PAUSE_S, self.resume
+                )
+            return None
+
+
+class _Connections:
+    """Connections of callers; each is served in a task of its own."""
+
+    def __init__(self, app: App, config: Config) -> None:
+        """Start without connections."""
+        application: Any = app
+        self._app = ASGIWrapper(application)
+        self._config = config
+        self._context = WorkerContext(None)
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def add(self, connection: socket.socket) -> None:
+        """Serve an accepted connection."""
+        connection.setblocking(False)  # noqa: WPS425 (positional only)
+        task = asyncio.create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self, timeout_s: float) -> None:
+        """Close idle connections, and the others after their requests."""
+        await self._context.terminated.set()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader()
+        protocol = asyncio.StreamReaderProtocol(reader)
+        try:
+            transport, _ = await loop.connect_accepted_socket(
+                lambda: protocol, connection
+            )
+        except OSError as error:
+            _log.info('connection lost before it was served: %s', error)
+            return
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        await TCPServer(
+            self._app, loop, self._config, self._context, {}, reader, writer
+        )
+
+
+def _build_config(limits: RequestSettings) -> Config:
     config = Config()
-    config.bind = [f'fd://{listener.detach()}']
     config.errorlog = _log
     config.accesslog = None
-    config.backlog = _BACKLOG
     config.include_server_header = False
     config.include_date_header = False
     config.keep_alive_timeout = KEEP_ALIVE_S
@@ -68,11 +201,7 @@
     # Twice the header limit: headers slightly above the limit get a problem
     # document, while larger ones get a plain 400 from the server.
     config.h11_max_incomplete_size = 2 * limits.most_header_bytes
-    config.graceful_timeout = limits.exit_s
-    application: Any = app
-    await serve(
-        application, config, shutdown_trigger=wait_for_stop, mode='asgi'
-    )
+    return config
 
 
 __all__ = ('KEEP_ALIVE_S', 'open_socket', 'serve_app')
