Find targets by address, and send the full state to a starting VM once

- A VM without a configuration polls every 0.1 s, and each of its polls was answered with the whole table and configuration until the first reply had arrived.
After a start of all VMs the busy leader answered late and sent more copies.
Now such a VM gets them once in 0.3 s.

Evidence: test_bytes_at_the_start_of_all and test_lost_reply failed before (300 VMs, three polls each: three full replies). Polls of VMs with a configuration are 0.35 s apart and are answered as before.

--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
 
+import attrs
+
 from ..configuration.entries import TargetDeparted
 from ..configuration.places import Places
 from ..configuration.settings import Settings
@@ -37,7 +40,7 @@
 )
 from ..ownership import ContactLog
 from ..types import Output, TargetId, VmId
-from .content import ContentHistory
+from .content import Content, ContentHistory
 from .departures import Waiter
 from .messages import (
     AnnouncementTaken,
@@ -58,6 +61,8 @@
 _VM_COUNT_DELAY_S: Final = 1.5
 # A VM that has not polled for this long polls another control VM.
 _VM_TIMEOUT_S: Final = 3.0
+# Less than the interval of polls of a VM that has a configuration.
+_FULL_INTERVAL_S: Final = 0.3
 _MS_PER_S: Final = 1000
 
 
@@ -87,6 +92,16 @@
         """Rows by target."""
 
 
+@attrs.frozen
+class _Changes:
+    """Part of a reply to a poll; see ``PollReply``."""
+
+    rows: tuple[TargetRow, ...] = ()
+    is_full: bool = False
+    content: Content | None = None
+    departed: tuple[Departure, ...] = ()
+
+
 class AttachmentServer:
     """Maintains the table of targets while this VM leads the control log.
 
@@ -124,6 +139,7 @@
         # Computed when it is needed after a VM has joined or left.
         self._ranks: dict[VmId, int] = {}
         self._content_history = ContentHistory()
+        self._full_sent_at: dict[VmId, float] = {}
         self._log_lines: list[WriteLog] = []
 
     def handle(self, event: Event | Notice) -> Sequence[Output]:
@@ -223,6 +239,7 @@
         for vm, polled_at in tuple(self._polled_at.items()):
             if at - polled_at > _VM_TIMEOUT_S:
                 self._polled_at.pop(vm)
+                self._full_sent_at.pop(vm, None)
                 self._ranks.clear()
                 outputs.append(MemberChanged(at, vm, '', MemberStatus.dead))
         return outputs
@@ -242,6 +259,7 @@
     def _take_over(self, leader_status: LeaderStatus, at: float) -> None:
         self._term = leader_status.term
         self._contacts.clear()
+        self._full_sent_at.clear()
         departed = leader_status.configuration.departed
         self._table.restore(self._follower_table.rows, departed, at)
         fields = {
@@ -261,9 +279,7 @@
             leader = self._replica.leader_vm
             hint = '' if leader in {None, self._vm} else str(leader)
             return LeaderHint(hint, self._replica.list_members())
-        # Positions are only comparable within one term.
-        is_full = poll.term != self._term
-        after = 0 if is_full else poll.position
+        changes = self._find_changes(vm, poll, leader_status, at)
         index = self._replica.members_index
         members: tuple[VmId, ...] = ()
         if poll.members_index != index:
@@ -276,17 +292,39 @@
             members_index=index,
             vm_count=self._count_vms(leader_status, at),
             members=members,
-            rows=self._table.list_rows(after),
-            is_full=is_full,
-            content=self._content_history.find(
-                leader_status.configuration, poll.content_version
-            ),
-            departed=self._table.departures.list_after(after),
+            rows=changes.rows,
+            is_full=changes.is_full,
+            content=changes.content,
+            departed=changes.departed,
             answered_at=at,
             vm_rank=self._find_rank(vm),
             data_centre=self._places.own if poll.data_centre else '',
         )
 
+    def _find_changes(
+        self, vm: VmId, poll: Poll, leader_status: LeaderStatus, at: float
+    ) -> _Changes:
+        """Return what a VM lacks; nothing if it was just sent all of it.
+
+        A VM without a configuration polls again before the first reply can
+        arrive, and all VMs may start at the same time.
+        """
+        # Positions are only comparable within one term.
+        is_full = poll.term != self._term
+        if is_full and not poll.content_version:
+            if at - self._full_sent_at.get(vm, -math.inf) < _FULL_INTERVAL_S:
+                return _Changes()
+            self._full_sent_at[vm] = at
+        after = 0 if is_full else poll.position
+        return _Changes(
+            self._table.list_rows(after),
+            is_full,
+            self._content_history.find(
+                leader_status.configuration, poll.content_version
+            ),
+            self._table.departures.list_after(after),
+        )
+
     def _forward_announcement(self, event: TargetAnnounced) -> list[Output]:
         leader = self._replica.leader_vm
         if leader is None:
--- a/src/cranberryseam/attachment/table.py
+++ b/src/cranberryseam/attachment/table.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Final, TypeAlias
 
 import attrs
 
@@ -12,6 +13,8 @@
 from .departures import Departures
 from .messages import Departure, TargetRow
 
+_Address: TypeAlias = tuple[str, int]
+
 # A target may be partitioned from the control VMs while entry VMs still reach
 # it, so the timeout is long. Entry VMs detect a failed target on their own.
 TARGET_TIMEOUT_S: Final = 20.0
@@ -48,6 +51,9 @@
         self.position = 0
         self.departures = Departures()
         self._entries: dict[TargetId, _Entry] = {}
+        # Targets at an address that aren't silent; at most one unless a
+        # follower had received rows of several.
+        self._holders: defaultdict[_Address, set[TargetId]] = defaultdict(set)
 
     def __len__(self) -> int:
         """Return the number of targets."""
@@ -75,7 +81,9 @@
             target: _Entry(row, at, self.position)
             for target, row in rows.items()
         }
+        self._holders.clear()
         for entry in self._entries.values():
+            self._hold_address(entry)
             if self.departures.covers_announcement(entry.row.announcement):
                 self._mark_draining(entry)
 
@@ -116,17 +124,18 @@
         announcement of a crashed target must not take the address from its
         successor.
         """
-        for target, entry in self._entries.items():
-            other = entry.row.announcement
-            if entry.row.silent or target == announcement.target:
-                continue
-            if (other.host, other.port) != (
-                announcement.host,
-                announcement.port,
-            ):
-                continue
-            if other.born_ms > announcement.born_ms:
-                return False
+        address = (announcement.host, announcement.port)
+        others = [
+            self._entries[target]
+            for target in self._holders.get(address, ())
+            if target != announcement.target
+        ]
+        if any(
+            other.row.announcement.born_ms > announcement.born_ms
+            for other in others
+        ):
+            return False
+        for entry in others:
             self._mark_silent(entry)
         return True
 
@@ -134,9 +143,9 @@
         """Apply an announcement."""
         known = self._entries.get(announcement.target)
         if known is None:
-            self._entries[announcement.target] = _Entry(
-                TargetRow(announcement), at, self._advance()
-            )
+            added = _Entry(TargetRow(announcement), at, self._advance())
+            self._entries[announcement.target] = added
+            self._hold_address(added)
             return
         known.last_heard_at = at
         before = known.row
@@ -146,7 +155,9 @@
         )
         if before.silent or not unchanged:
             known.position = self._advance()
+        self._release_address(known)
         known.row = TargetRow(announcement)
+        self._hold_address(known)
 
     def depart(self, departure: Departure, at: float) -> None:
         """Apply a committed departure."""
@@ -177,9 +188,23 @@
 
     def _mark_silent(self, entry: _Entry) -> None:
         """Mark a target that timed out or lost its address to another."""
+        self._release_address(entry)
         entry.row = TargetRow(entry.row.announcement, silent=True)
         entry.position = self._advance()
 
+    def _hold_address(self, entry: _Entry) -> None:
+        if not entry.row.silent:
+            held = entry.row.announcement
+            self._holders[held.host, held.port].add(held.target)
+
+    def _release_address(self, entry: _Entry) -> None:
+        held = entry.row.announcement
+        address = (held.host, held.port)
+        holders = self._holders.get(address, set())
+        holders.discard(held.target)
+        if not holders:
+            self._holders.pop(address, None)
+
     def _advance(self) -> int:
         self.position += 1
         return self.position
--- /dev/null
+++ b/tests/attachment/test_server.py
@@ -0,0 +1,145 @@
+"""Tests of the replies of the control leader to polls (pattern: all start)."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from cranberryseam.assembly import build_codec
+from cranberryseam.attachment.messages import Poll, PollReply
+from cranberryseam.attachment.server import AttachmentServer
+from cranberryseam.attachment.table import TargetTable
+from cranberryseam.configuration.model import Configuration
+from cranberryseam.control.replica import LeaderStatus
+from cranberryseam.core.effects import SendMessage
+from cranberryseam.core.events import MessageReceived, Started
+from cranberryseam.ownership import ContactLog
+from cranberryseam.types import TargetId, VmId
+
+from .attached_fleet import make_announcement, make_settings
+
+VMS = 300
+TARGETS = 150
+ROUND_TRIP_S = 0.06
+FAST_POLL_S = 0.1
+
+
+class _Leader:
+    """Replica that leads with an unchanged configuration."""
+
+    leader_vm = VmId('c1')
+    members_index = 1
+    now = 0.0
+
+    def find_leader_status(self) -> LeaderStatus:
+        configuration = Configuration(version=7)
+        return LeaderStatus(3, 0, self.now, configuration)
+
+    def list_members(self) -> tuple[VmId, ...]:
+        return (self.leader_vm,)
+
+
+class _Follower:
+    """Table with targets that a follower had received."""
+
+    rows = {}
+
+
+class _Server:
+    """Server that gets polls from VMs without a configuration."""
+
+    def __init__(self) -> None:
+        self._leader = _Leader()
+        self._server = AttachmentServer(
+            make_settings('c1'), self._leader, _Follower(), ContactLog()
+        )
+        self._server.handle(Started(0, 0))
+        self._server._find_leader_status(0)
+        for number in range(TARGETS):
+            announcement = make_announcement(f't{number}', port=number + 1)
+            self._server._table.update(announcement, 0)
+
+    def poll(self, vm: str, at: float, poll: Poll) -> PollReply:
+        """Return the reply to a poll."""
+        self._leader.now = at
+        outputs = self._server.handle(MessageReceived(at, VmId(vm), poll))
+        (sent,) = [out for out in outputs if isinstance(out, SendMessage)]
+        return sent.message
+
+
+class StartTest(TestCase):
+    """VMs poll fast until they have a configuration."""
+
+    def test_bytes_at_the_start_of_all(self) -> None:
+        """Guards against copies of the table for polls sent meanwhile.
+
+        A busy leader answers late, and each further poll made it later.
+        """
+        server = _Server()
+        codec = build_codec()
+        sizes = [0, 0, 0]
+        for number in range(VMS):
+            for step in range(3):
+                at = number / 1000 + step * FAST_POLL_S
+                reply = server.poll(f'e{number}', at, Poll(at, 0, 0, 0, 0))
+                sizes[step] += len(codec.encode(VmId('c1'), reply))
+        self.assertLess(sum(sizes[1:]), sizes[0] / 2)
+
+    def test_lost_reply(self) -> None:
+        """Guards against a VM that never gets its first configuration."""
+        server = _Server()
+        full = [
+            server.poll('e1', at, Poll(at, 0, 0, 0, 0)).is_full
+            for at in (0, 0.1, 0.2, 0.35)
+        ]
+        self.assertEqual([True, False, False, True], full)
+
+    def test_configured_vm(self) -> None:
+        """Guards against changes that wait for a later poll."""
+        server = _Server()
+        known = Poll(1, 7, 2, 5, 1)
+        self.assertTrue(server.poll('e1', 1, known).is_full)
+        self.assertTrue(server.poll('e1', 1.1, known).is_full)
+
+
+class AddressTest(TestCase):
+    """An address belongs to the target that started last at it."""
+
+    def test_successors(self) -> None:
+        """Guards against an address that is lost to an earlier target."""
+        table = TargetTable()
+        for name, born_ms, taken in (
+            ('old', 10, True),
+            ('new', 20, True),
+            ('old', 10, False),
+            ('newest', 30, True),
+        ):
+            announcement = make_announcement(name, born_ms=born_ms)
+            self.assertEqual(taken, table.claim_address(announcement))
+            if taken:
+                table.update(announcement, 1)
+        silent = {
+            row.announcement.target: row.silent for row in table.list_rows(0)
+        }
+        self.assertEqual({'old': True, 'new': True, 'newest': False}, silent)
+
+    def test_moved_target(self) -> None:
+        """Guards against an address that stays with a target that moved."""
+        table = TargetTable()
+        table.update(make_announcement('t1', port=1), 1)
+        table.update(make_announcement('t1', port=2, sequence=2), 2)
+        other = make_announcement('t2', port=1, born_ms=0)
+        self.assertTrue(table.claim_address(other))
+        self.assertFalse(
+            table.claim_address(make_announcement('t3', port=2, born_ms=0))
+        )
+
+    def test_restored_table(self) -> None:
+        """Guards against a new leader that forgets who has an address."""
+        before = TargetTable()
+        before.update(make_announcement('t1', born_ms=20), 1)
+        rows = {TargetId('t1'): before.list_rows(0)[0]}
+        table = TargetTable()
+        table.restore(rows, (), 2)
+        self.assertFalse(
+            table.claim_address(make_announcement('t2', born_ms=10))
+        )
