Trust targets by their successes instead of their use

A VM took a target that other VMs used, and of which no failure was reported, for sound. A request in progress counted as use, so a target that hangs looked sound until its first request exceeded the objective.

Change: the leader tells how old the last successes are, and names the targets without a recent one, up to 16.

--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -39,6 +39,8 @@
 _REPORTER_TIMEOUT_S = 10.0
 _HUNDREDTHS = 100
 _MS_PER_S = 1000
+# Each offer is made to one VM, which sends its next request there.
+_OFFERED_PERMILLE = 1000
 # Batch rates decay within one second instead of ten.
 _BATCH_DECAY_SPEEDUP = 10
 _SILENT_RETENTION_S = 300.0
@@ -136,7 +138,7 @@
                 evidence.rows.append((vm, row))
                 name = evidence.announcement.target
                 attempts = row.succeeded + row.failed + row.shed
-                self.idle.record_use(name, attempts, at)
+                self.idle.record_use(name, attempts, at, row.succeeded)
 
     def forget_vm(self, vm: VmId) -> None:
         """Remove a VM that left."""
@@ -157,6 +159,7 @@
         self._sequence += 1
         # Without shared estimates, single VMs avoid a target, not all of them.
         shares_health = self._tuning.health_sharing_enabled
+        proof = self.idle.find_proof(at) if shares_health else None
         serves = partial(self._serves, self._vm_places.find(vm))
         return ServiceView(
             self.service,
@@ -174,8 +177,10 @@
             ),
             round(self._measure_demand() * _HUNDREDTHS),
             self.idle.offer(at, serves) if shares_health else (),
-            self._measure_use_age_ms(at) if shares_health else 0,
+            _OFFERED_PERMILLE,
+            0 if proof is None else 1 + round(proof.age_s * _MS_PER_S),
             self._demand.current.to_hundredths(self._vm_places.places.names),
+            proof.unproven if proof else (),
         )
 
     def decide(self, at: float) -> Decision:
@@ -211,10 +216,6 @@
         )
         return data_centre in users
 
-    def _measure_use_age_ms(self, at: float) -> int:
-        use_age_s = self.idle.use_age_s(at)
-        return 0 if use_age_s is None else 1 + round(use_age_s * _MS_PER_S)
-
     def _measure_demand(self) -> float:
         return sum(evidence.load for evidence in self.targets.values())
 
--- a/src/cranberryseam/routing/health.py
+++ b/src/cranberryseam/routing/health.py
@@ -75,16 +75,15 @@
     return _EVIDENCE_BY_OUTCOME.get(outcome)
 
 
-def find_probability_in_use(elapsed_s: float) -> float:
-    """Return the failure probability of a target that all VMs use.
+def find_probability_after_success(elapsed_s: float) -> float:
+    """Return the failure probability of a target that succeeded lately.
 
-    VMs report failures at once, so that none was reported counts as a success
-    at the time of the last known use.
+    VMs report failures at once, and none was reported.
 
     Parameters
     ----------
     elapsed_s
-        Time since that use; infinite without one.
+        Time since the success of any VM; infinite without one.
 
     """
     kept = math.exp(-_DECAY_RATE_PER_S * max(0, elapsed_s))
@@ -138,5 +137,5 @@
     'Evidence',
     'FailureEstimate',
     'classify_evidence',
-    'find_probability_in_use',
+    'find_probability_after_success',
 )
--- a/src/cranberryseam/routing/idle_targets.py
+++ b/src/cranberryseam/routing/idle_targets.py
@@ -30,6 +30,8 @@
 _DOUBTFUL_PERCENT: Final = 70
 # Above the estimate without any outcome.
 _FAILING_PERCENT: Final = 15
+# Bounds the size of a view.
+_MAX_UNPROVEN: Final = 16
 # A VM has few requests until its next view.
 _MAX_OFFERED: Final = 1
 _RATE_SMOOTHING: Final = 0.3
@@ -43,10 +45,27 @@
 class _Use:
     used_at: float
     logged: bool = False
-    reported: bool = True
+    succeeded_at: float = float('-inf')
     offered_at: float = float('-inf')
 
 
+@attrs.frozen
+class Proof:
+    """Recent successes of the targets of a service.
+
+    Parameters
+    ----------
+    age_s
+        All targets have succeeded within this time, except those below.
+    unproven
+        Hashes of targets without a recent success.
+
+    """
+
+    age_s: float
+    unproven: tuple[int, ...]
+
+
 @attrs.frozen
 class _Period:
     target: TargetId
@@ -75,13 +94,26 @@
     _ended: list[_Period] = attrs.field(factory=list)
     _service_used_at: float = float('-inf')
 
-    def record_use(self, target: TargetId, attempts: int, at: float) -> None:
-        """Record that a VM uses a target and how many attempts have ended."""
+    def record_use(
+        self, target: TargetId, attempts: int, at: float, succeeded: int = 0
+    ) -> None:
+        """Record that a VM uses a target and how many attempts have ended.
+
+        Parameters
+        ----------
+        succeeded
+            Attempts that ended with a success.
+
+        """
         self._attempts += attempts
         use = self._uses.setdefault(target, _Use(at))
         if use.logged:
             self._ended.append(_Period(target, at - use.used_at))
-        self._uses[target] = _Use(at, offered_at=use.offered_at)
+        self._uses[target] = _Use(
+            at,
+            succeeded_at=at if succeeded else use.succeeded_at,
+            offered_at=use.offered_at,
+        )
         self._service_used_at = at
 
     def update(
@@ -137,20 +169,28 @@
             self._uses[name].offered_at = at
         return tuple(map(hash_name, offered))
 
-    def use_age_s(self, at: float) -> float | None:
-        """Return the time in which all targets that don't fail were used.
-
-        Returns
-        -------
-        Seconds; None if one of them may not have been used at all.
+    def find_proof(self, at: float) -> Proof | None:
+        """Return when targets last succeeded; None if nothing is known.
 
+        Targets that fail don't count, because VMs know of them.
         """
-        uses = [
-            use for name, use in self._uses.items() if name not in self._failing
+        successes = {
+            name: use.succeeded_at
+            for name, use in self._uses.items()
+            if name not in self._failing
+        }
+        unproven = [
+            name
+            for name, succeeded_at in successes.items()
+            if at - succeeded_at > MIN_IDLE_S
         ]
-        if not all(use.reported for use in uses):
+        if not successes or len(unproven) > _MAX_UNPROVEN:
             return None
-        return at - min((use.used_at for use in uses), default=at)
+        oldest = min(
+            (time for name, time in successes.items() if name not in unproven),
+            default=at,
+        )
+        return Proof(at - oldest, tuple(map(hash_name, unproven)))
 
     def _update_rate(self, at: float) -> None:
         elapsed_s = at - self._updated_at
@@ -171,7 +211,7 @@
         """Return the targets that have been idle long enough to be logged."""
         found = []
         for name in sorted(ready):
-            use = self._uses.setdefault(name, _Use(at, reported=False))
+            use = self._uses.setdefault(name, _Use(at))
             # Without requests for the service all of its targets are idle.
             idle_s = self._service_used_at - use.used_at
             if idle_s >= MIN_IDLE_S and not use.logged:
@@ -203,4 +243,4 @@
     )
 
 
-__all__ = ('MIN_IDLE_S', 'EstimateLookup', 'IdleTargets')
+__all__ = ('MIN_IDLE_S', 'EstimateLookup', 'IdleTargets', 'Proof')
--- a/src/cranberryseam/routing/messages.py
+++ b/src/cranberryseam/routing/messages.py
@@ -96,12 +96,17 @@
     idle
         Hashes of ready targets without recent requests of any VM; the next
         requests of the receiver go there.
-    use_age_ms
-        All ready targets that don't fail have had requests within this time;
-        0 if the leader doesn't know.
+    idle_permille
+        Share of the requests of the receiver that may go there. Builds that
+        get all idle targets divide it among the VMs.
+    proof_age_ms
+        All ready targets that don't fail have succeeded within this time,
+        except ``unproven``; 0 if the leader doesn't know.
     demands
         Slots in use (hundredths) by the VMs of each data centre, in the order
         of their names.
+    unproven
+        Hashes of targets without a recent success that aren't known to fail.
 
     """
 
@@ -113,8 +118,10 @@
     loads: tuple[tuple[int, int], ...]
     demand: int = 0
     idle: tuple[int, ...] = ()
-    use_age_ms: int = 0
+    idle_permille: int = 1000
+    proof_age_ms: int = 0
     demands: tuple[int, ...] = ()
+    unproven: tuple[int, ...] = ()
 
 
 class HealthSeen(Message, frozen=True, array_like=True, tag=602):  # noqa: WPS432 (tag)
--- a/src/cranberryseam/routing/reporting.py
+++ b/src/cranberryseam/routing/reporting.py
@@ -108,9 +108,9 @@
             target.update_other_load(loads.get(target.name_hash, 0))
             idle = target.name_hash in view.idle
             target.idle_until = at + _IDLE_VALIDITY_S if idle else at
-            if view.use_age_ms:
-                use_age_s = view.use_age_ms / _MS_PER_S
-                target.fleet_used_at = at - use_age_s - _REPORT_AGE_S
+            if view.proof_age_ms and target.name_hash not in view.unproven:
+                age_s = view.proof_age_ms / _MS_PER_S + _REPORT_AGE_S
+                target.proven_at = max(target.proven_at, at - age_s)
     return True
 
 
--- a/src/cranberryseam/routing/target.py
+++ b/src/cranberryseam/routing/target.py
@@ -10,7 +10,7 @@
 
 from ..configuration.places import Distance
 from ..core.events import Announcement, TargetState, TargetStatement
-from .health import BASELINE, FailureEstimate, find_probability_in_use
+from .health import BASELINE, FailureEstimate, find_probability_after_success
 from .messages import OutcomeRow
 from .rate_limits import RateLimit
 
@@ -104,8 +104,8 @@
         Time at which this VM learned that it leaves; infinite if it doesn't.
     paused_until
         Time until which it wants no requests of this VM.
-    fleet_used_at
-        Time since which the VMs together have used it, as far as is known.
+    proven_at
+        Time since which requests of any VM have succeeded there.
 
     """
 
@@ -136,7 +136,7 @@
     rate_limit: RateLimit | None = None
     leaving_since: float = math.inf
     paused_until: float = float('-inf')
-    fleet_used_at: float = float('-inf')
+    proven_at: float = float('-inf')
 
     @property
     def usable(self) -> bool:
@@ -164,7 +164,7 @@
         )
         if highest > BASELINE:
             return highest
-        return min(highest, find_probability_in_use(at - self.fleet_used_at))
+        return min(highest, find_probability_after_success(at - self.proven_at))
 
     def is_unchanged(self, announcement: Announcement, silent: bool) -> bool:
         """Return whether an announcement changes nothing."""
@@ -205,7 +205,7 @@
         self.rate_limit = None
         self.leaving_since = math.inf
         self.paused_until = -math.inf
-        self.fleet_used_at = -math.inf
+        self.proven_at = -math.inf
 
     def integrate_use(self, at: float) -> Tally:
         """Add the slot time used since the last call; return the tally."""
--- a/tests/routing/test_idle_targets.py
+++ b/tests/routing/test_idle_targets.py
@@ -152,12 +152,36 @@
         self.assertEqual((), idle.offer(1.1, lambda _: False))
         self.assertEqual((hash_name('t2'),), idle.offer(1.1, _serve))
 
-    def test_use_age(self) -> None:
-        """Guards against trust in a target that no VM has used."""
-        idle = self._run(rate=10, seconds=2)
-        self.assertEqual(1.5, idle.use_age_s(1.5))
-        idle.update(READY | {TargetId('new')}, 1.5, lambda _key, _at: 0)
-        self.assertIsNone(idle.use_age_s(1.5))
+    def test_proof(self) -> None:
+        """Guards against trust in a target that hangs or wasn't used.
+
+        A request in progress counts as use of a target, but shows nothing.
+        """
+        idle = IdleTargets(ServiceName('katalogi'))
+        for name in ('t1', 't2'):
+            idle.record_use(TargetId(name), 1, 1, succeeded=1)
+        idle.record_use(TargetId('t1'), 1, 3.5, succeeded=1)
+        idle.record_use(TargetId('t2'), 0, 3.5)
+        idle.update(READY | {TargetId('new')}, 3.6, lambda _key, _at: 0)
+        proof = idle.find_proof(4)
+        self.assertEqual(0.5, proof.age_s)
+        self.assertEqual(
+            {hash_name('t2'), hash_name('new')}, set(proof.unproven)
+        )
+
+    def test_failing_targets_need_no_proof(self) -> None:
+        """Guards against a list of targets that VMs avoid already."""
+        idle = IdleTargets(ServiceName('katalogi'))
+        idle.record_use(TargetId('t1'), 1, 3, succeeded=1)
+        idle.update(READY, 3, lambda key, _: 90 * (key == hash_name('t2')))
+        self.assertEqual((), idle.find_proof(4).unproven)
+
+    def test_many_unproven_targets(self) -> None:
+        """Guards against a view that grows with the number of targets."""
+        idle = IdleTargets(ServiceName('katalogi'))
+        for number in range(40):
+            idle.record_use(TargetId(f't{number}'), 1, 1)
+        self.assertIsNone(idle.find_proof(2))
 
 
 def _serve(_: TargetId) -> bool:
