Offer a target that has just failed later, and count its outcomes at once

Cause: the leader offered an avoided target to a VM every half second until the next report of a VM, up to a second later. Before, all VMs dropped an offer as soon as one of them had reported an outcome.

Change: an outcome that a VM reports at once counts as use; after a failure the next offer waits 1.5 s. Reports are dated half a second back, their mean delay.

--- a/src/cranberryseam/routing/evidence_pool.py
+++ b/src/cranberryseam/routing/evidence_pool.py
@@ -140,6 +140,20 @@
                 attempts = row.succeeded + row.failed + row.shed
                 self.idle.record_use(name, attempts, at, row.succeeded)
 
+    def record_outcome(self, target: int, at: float, failed: bool) -> None:
+        """Record an outcome that a VM has reported at once.
+
+        Parameters
+        ----------
+        target
+            Hash of its name.
+
+        """
+        evidence = self._by_hash.get(target)
+        if evidence is not None:
+            name = evidence.announcement.target
+            self.idle.record_outcome(name, at, failed)
+
     def forget_vm(self, vm: VmId) -> None:
         """Remove a VM that left."""
         self._reporters.pop(vm, None)
--- a/src/cranberryseam/routing/idle_targets.py
+++ b/src/cranberryseam/routing/idle_targets.py
@@ -18,10 +18,13 @@
 
 # Shorter pauses occur by chance even if all targets have the same share.
 MIN_IDLE_S: Final = 2.0
-# Reports arrive up to a second after a request.
+# Mean time from an attempt to the report of its VM.
+_REPORT_DELAY_S: Final = 0.5
 _OFFERED_AFTER_S: Final = 0.7
 # A VM may have no request within this time, or may not be able to use it.
 _OFFER_INTERVAL_S: Final = 0.5
+# A target that has just failed probably still does.
+_RETRY_INTERVAL_S: Final = 1.5
 # Share of all requests that may go to idle targets, which often still fail.
 _OFFERED_SHARE: Final = 0.25
 # A service with few requests sends all of them to its idle targets.
@@ -46,7 +49,7 @@
     used_at: float
     logged: bool = False
     succeeded_at: float = float('-inf')
-    offered_at: float = float('-inf')
+    next_offer_at: float = float('-inf')
 
 
 @attrs.frozen
@@ -110,12 +113,21 @@
         if use.logged:
             self._ended.append(_Period(target, at - use.used_at))
         self._uses[target] = _Use(
-            at,
+            max(use.used_at, at - _REPORT_DELAY_S),
             succeeded_at=at if succeeded else use.succeeded_at,
-            offered_at=use.offered_at,
+            next_offer_at=use.next_offer_at,
         )
         self._service_used_at = at
 
+    def record_outcome(self, target: TargetId, at: float, failed: bool) -> None:
+        """Record an outcome that a VM has reported at once."""
+        use = self._uses.get(target)
+        if use is None:
+            return
+        use.used_at = max(use.used_at, at)
+        if failed:
+            use.next_offer_at = at + _RETRY_INTERVAL_S
+
     def update(
         self, ready: Set[TargetId], at: float, estimates: EstimateLookup
     ) -> list[Output]:
@@ -159,14 +171,13 @@
         idle = sorted(
             (name in self._doubtful, use.used_at, name)
             for name, use in self._uses.items()
-            if at - use.used_at >= _OFFERED_AFTER_S
-            and at - use.offered_at >= _OFFER_INTERVAL_S
+            if at - use.used_at >= _OFFERED_AFTER_S and at >= use.next_offer_at
         )
         served = [row[-1] for row in idle if is_served(row[-1])]
         offered = served[: min(_MAX_OFFERED, int(self._allowance))]
         self._allowance -= len(offered)
         for name in offered:
-            self._uses[name].offered_at = at
+            self._uses[name].next_offer_at = at + _OFFER_INTERVAL_S
         return tuple(map(hash_name, offered))
 
     def find_proof(self, at: float) -> Proof | None:
--- a/src/cranberryseam/routing/leadership.py
+++ b/src/cranberryseam/routing/leadership.py
@@ -12,8 +12,9 @@
 from ..core.events import Announcement, TargetState
 from ..types import ServiceName
 from .evidence_pool import Decision, EvidencePool
+from .health import Evidence
 from .idle_targets import EstimateLookup
-from .messages import OutcomeReport, ServiceView
+from .messages import HealthSeen, OutcomeReport, ServiceView
 from .model import COMPONENT, LeaderLookup, Tuning
 
 if TYPE_CHECKING:
@@ -105,6 +106,13 @@
         pool.receive(sender, report, at)
         return pool.view_for(sender, self._region, at), self._set_timer(at)
 
+    def record_outcome(self, seen: HealthSeen, at: float) -> None:
+        """Record an outcome that a VM has reported at once."""
+        pool = self.pools.get(ServiceName(seen.service))
+        if pool is not None:
+            failed = seen.evidence == Evidence.failure
+            pool.record_outcome(seen.target, at, failed)
+
     def decide(self, at: float, estimates: EstimateLookup) -> list[Output]:
         """Decide on ejections of all led services; called by the timer.
 
--- a/src/cranberryseam/routing/router.py
+++ b/src/cranberryseam/routing/router.py
@@ -470,6 +470,8 @@
             case TargetStated() as stated:
                 return self._statements.receive(stated, at)
             case HealthSeen() | HealthTold() as message:
+                if isinstance(message, HealthSeen):
+                    self._leadership.record_outcome(message, at)
                 return self._health.receive(message, at)
         return []
 
--- a/tests/routing/test_idle_targets.py
+++ b/tests/routing/test_idle_targets.py
@@ -152,6 +152,25 @@
         self.assertEqual((), idle.offer(1.1, lambda _: False))
         self.assertEqual((hash_name('t2'),), idle.offer(1.1, _serve))
 
+    @parameterized.expand([('failure', True, 1.5), ('success', False, 0.7)])
+    def test_outcome_of_an_offer(
+        self, _: str, failed: bool, least_s: float
+    ) -> None:
+        """Guards against offers of a target that has just failed.
+
+        Orders were lost at targets that were offered twice a second until the
+        next report of the VM.
+        """
+        idle = self._run(rate=100, seconds=30)
+        self.assertIn(hash_name('t2'), idle.offer(30, _serve))
+        idle.record_outcome(TargetId('t2'), 30.1, failed)
+        offered = [
+            number / 100
+            for number in range(300)
+            if hash_name('t2') in idle.offer(30.1 + number / 100, _serve)
+        ]
+        self.assertAlmostEqual(least_s, offered[0], delta=0.02)
+
     def test_proof(self) -> None:
         """Guards against trust in a target that hangs or wasn't used.
 
