--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -732,10 +732,12 @@
         async with asyncio.timeout(LIMIT_S):
             await main(record)
 
+    # Ends the started processes also if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         asyncio.run(limited())
         code = 1 if record.broken else 0
-    except (Unusable, TimeoutError, OSError) as error:
+    except Exception as error:
         record.line('case', f'could not run: {error!r}')
         print(f'could not run: {error!r}', file=sys.stderr)
     record.line('case', f'exit {code}, {len(record.broken)} breaches')
