--- a/review/1/case.py
+++ b/review/1/case.py
@@ -105,4 +105,4 @@
         fleet.end()
 
 
-h.run_case(main, __file__)
+h.run_case(main, Path(sys.argv[1]))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -111,4 +111,4 @@
     print(breaches, 'windows; used in all', len(set(runs.values())))
 
 
-h.run_case(main, __file__)
+h.run_case(main, Path(sys.argv[1]))
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+# Writes what was sent, answered and run to record.txt in this folder.
+here=$(cd "$(dirname "$0")" && pwd)
+exec python3 "$here/case.py" "$here/record.txt"
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -45,8 +45,8 @@
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / 'record.txt').open('w', encoding='utf-8')
+    def __init__(self, path: Path) -> None:
+        self._file = path.open('w', encoding='utf-8')
         self._start = time.monotonic()
         self.broken: list[str] = []
 
@@ -722,9 +722,12 @@
     return operator
 
 
-def run_case(main, folder: str) -> None:
-    """Run a case and exit with 1 if the rule was broken, 0 if it held."""
-    record = Record(Path(folder).resolve().parent)
+def run_case(main, path: Path) -> None:
+    """Run a case and exit with 1 if the rule was broken, 0 if it held.
+
+    ``path`` is the file that gets the record.
+    """
+    record = Record(path)
     record.line('case', f'TROUBLE={int(TROUBLE)}')
     code = 2
 
