Treat a reset response without a length as incomplete

Cause: TargetTransport passed the end of the stream to the HTTP parser whenever the connection was lost, with or without an error. To the parser that end completes a response without a length, and events that it had parsed were returned before the stored error.

Evidence: ResetResponseTest failed before in all 6 cases, on asyncio and uvloop: as a 200 with Content-Length: 300, and, for a forwarded response, with the last chunk. Ruled out: abort() by this process passes nothing to the parser; responses with a length or in chunks were reported as errors already.

Change: only eof_received passes the end of the stream. Without it the attempt fails, or the caller's connection closes without the last chunk.

--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -146,12 +146,21 @@
         self._received.set()
 
     def eof_received(self) -> bool:
-        """Record the end of the stream and close the socket."""
+        """Record the end of the stream and close the socket.
+
+        It completes a response without a length.
+        """
+        if self._in_use and not self._ended:
+            self._http.receive_data(b'')
         self._end()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Wake up the request, which can't continue."""
+        """Wake up the request, which can't continue.
+
+        Without an end of the stream before, a response without a length stays
+        incomplete.
+        """
         self._error = error
         self._end()
         self._writable.set()
@@ -165,8 +174,6 @@
         self._writable.set()
 
     def _end(self) -> None:
-        if not self._ended and self._in_use:
-            self._http.receive_data(b'')
         self._ended = True
         self._received.set()
 
--- a/tests/serving/test_faulty_targets.py
+++ b/tests/serving/test_faulty_targets.py
@@ -8,13 +8,17 @@
 import asyncio
 import contextlib
 import itertools
+import socket
+import struct
+from collections.abc import Callable
 
 import attrs
 import testtools
+import uvloop
 from adapter import DIALECT
 from parameterized import parameterized
 
-from cranberryseam.core.events import AnswerReady, AttemptFailed
+from cranberryseam.core.events import AnswerEnded, AnswerReady, AttemptFailed
 from cranberryseam.serving.dialect import DEFAULT_DIALECT, Dialect
 
 from .harness import (
@@ -347,3 +351,104 @@
         )
         self.assertEqual([], reducer.events_of(AnswerReady))
         self.assertEqual(len(answer), len(reducer.events_of(AttemptFailed)))
+
+
+@attrs.frozen
+class _ResetTarget:
+    """Sends a part of a response without a length and resets its connection.
+
+    Parameters
+    ----------
+    part
+        The part of the body that is sent.
+    at_once
+        Whether the reset follows the part at once.
+
+    """
+
+    part: bytes
+    at_once: bool
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n')
+        writer.write(b'Response-Seal: s\r\n\r\n%b' % self.part)
+        await writer.drain()
+        if not self.at_once:
+            await asyncio.sleep(_PAUSE_S)
+        linger = struct.pack('ii', 1, 0)
+        connection = writer.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
+# Below and above the size that is buffered before a response is forwarded.
+_SMALL_PART = b'x' * 300
+_LARGE_PART = b'x' * 200_000
+_LOOPS = (
+    ('asyncio', asyncio.new_event_loop),
+    ('uvloop', uvloop.new_event_loop),
+)
+
+
+class ResetResponseTest(testtools.TestCase):
+    """A target resets its connection within a response without a length."""
+
+    @parameterized.expand(
+        [
+            (f'{loop}_{"at_once" if at_once else "later"}', new_loop, at_once)
+            for (loop, new_loop), at_once in itertools.product(
+                _LOOPS, (True, False)
+            )
+        ]
+    )
+    def test_buffered(
+        self,
+        _: str,
+        new_loop: Callable[[], asyncio.AbstractEventLoop],
+        at_once: bool,
+    ) -> None:
+        """Guards against a reset response that callers get framed as whole."""
+        reducer = ForwardingReducer()
+        reply = self.call(reducer, new_loop, _ResetTarget(_SMALL_PART, at_once))
+        self.assertTrue(reply.startswith(b'HTTP/1.1 502'), reply)
+        self.assertEqual([], reducer.events_of(AnswerReady))
+        (failed,) = reducer.events_of(AttemptFailed)
+        self.assertTrue(failed.sent)
+
+    @parameterized.expand(_LOOPS)
+    def test_forwarded(
+        self, _: str, new_loop: Callable[[], asyncio.AbstractEventLoop]
+    ) -> None:
+        """Guards against an end that marks a forwarded part as whole."""
+        reducer = ForwardingReducer()
+        target = _ResetTarget(_LARGE_PART, at_once=False)
+        reply = self.call(reducer, new_loop, target)
+        head, _separator, body = reply.partition(b'\r\n\r\n')
+        self.assertTrue(head.startswith(b'HTTP/1.1 200'), head)
+        self.assertIn(b'transfer-encoding: chunked', head.lower())
+        self.assertNotIn(b'content-length', head.lower())
+        self.assertFalse(body.endswith(b'\r\n0\r\n\r\n'))
+        (ended,) = reducer.events_of(AnswerEnded)
+        self.assertFalse(ended.complete)
+
+    def call(
+        self,
+        reducer: ForwardingReducer,
+        new_loop: Callable[[], asyncio.AbstractEventLoop],
+        target: _ResetTarget,
+    ) -> bytes:
+        """Return what the caller of a target receives."""
+        interface = _INTERFACES[1]
+
+        async def scenario() -> bytes:
+            async with (
+                run_target(target.serve) as reducer.port,
+                run_gateway(reducer, interface.dialect) as fixture,
+            ):
+                return await fixture.send_raw(interface.build_request())
+
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            return runner.run(scenario())
