Name only the position whose changes a poll reply carries

Cause: a starting VM gets the whole table and the first configuration once in 0.3 s. The replies to its polls in between carried no rows but named the newest position of the table. The VM stored it and never got the rows and departures in between; unchanged heartbeats don't give a row a new position.

Evidence: four of the five tests of ChangesAtTheStartTest failed before: a change between the whole table and the next poll, between the table and the first configuration (at once and later), and a configuration that waited for 0.3 s after the table. The fifth covers lost replies.

Change: a reply without the table names the position of the poll, or 0. The table and the configuration have separate limits, and a VM that has the table always gets its changes.

--- a/src/cranberryseam/attachment/messages.py
+++ b/src/cranberryseam/attachment/messages.py
@@ -82,13 +82,16 @@
     ----------
     age_s
         Age of the latest confirmation that a quorum follows the leader.
+    position
+        Position up to which a receiver that applies this reply knows all
+        changes of the table.
     members_index, members
         VMs of the control replicas; omitted if the sender has this version.
     vm_count
         Number of VMs that poll the leader; 0 if not known yet.
     content
         Update to the current configuration; None if the sender has it.
-    whole
+    is_full
         True if ``rows`` contain all targets, not only changed ones.
     departed
         Departures after the position of the poll. They also apply to targets
--- a/src/cranberryseam/attachment/server.py
+++ b/src/cranberryseam/attachment/server.py
@@ -96,12 +96,35 @@
 class _Changes:
     """Part of a reply to a poll; see ``PollReply``."""
 
+    position: int
     rows: tuple[TargetRow, ...] = ()
     is_full: bool = False
     content: Content | None = None
     departed: tuple[Departure, ...] = ()
 
 
+@attrs.define(eq=False)
+class _SendLimit:
+    """Limits how often each starting VM is sent the same large part."""
+
+    _sent_at: dict[VmId, float] = attrs.field(factory=dict)
+
+    def acquire(self, vm: VmId, at: float) -> bool:
+        """Return whether the part may be sent now, and record that it is."""
+        if at - self._sent_at.get(vm, -math.inf) < _FULL_INTERVAL_S:
+            return False
+        self._sent_at[vm] = at
+        return True
+
+    def remove(self, vm: VmId) -> None:
+        """Forget a VM."""
+        self._sent_at.pop(vm, None)
+
+    def clear(self) -> None:
+        """Forget all VMs."""
+        self._sent_at.clear()
+
+
 class AttachmentServer:
     """Maintains the table of targets while this VM leads the control log.
 
@@ -139,7 +162,8 @@
         # Computed when it is needed after a VM has joined or left.
         self._ranks: dict[VmId, int] = {}
         self._content_history = ContentHistory()
-        self._full_sent_at: dict[VmId, float] = {}
+        self._table_limit = _SendLimit()
+        self._content_limit = _SendLimit()
         self._log_lines: list[WriteLog] = []
 
     def handle(self, event: Event | Notice) -> Sequence[Output]:
@@ -239,7 +263,8 @@
         for vm, polled_at in tuple(self._polled_at.items()):
             if at - polled_at > _VM_TIMEOUT_S:
                 self._polled_at.pop(vm)
-                self._full_sent_at.pop(vm, None)
+                self._table_limit.remove(vm)
+                self._content_limit.remove(vm)
                 self._ranks.clear()
                 outputs.append(MemberChanged(at, vm, '', MemberStatus.dead))
         return outputs
@@ -259,7 +284,8 @@
     def _take_over(self, leader_status: LeaderStatus, at: float) -> None:
         self._term = leader_status.term
         self._contacts.clear()
-        self._full_sent_at.clear()
+        self._table_limit.clear()
+        self._content_limit.clear()
         departed = leader_status.configuration.departed
         self._table.restore(self._follower_table.rows, departed, at)
         fields = {
@@ -288,7 +314,7 @@
             sent_at=poll.sent_at,
             age_s=max(0, at - leader_status.confirmed_at),
             term=self._term,
-            position=self._table.position,
+            position=changes.position,
             members_index=index,
             vm_count=self._count_vms(leader_status, at),
             members=members,
@@ -304,23 +330,26 @@
     def _find_changes(
         self, vm: VmId, poll: Poll, leader_status: LeaderStatus, at: float
     ) -> _Changes:
-        """Return what a VM lacks; nothing if it was just sent all of it.
+        """Return what a VM lacks, without large parts that it was just sent.
 
         A VM without a configuration polls again before the first reply can
         arrive, and all VMs may start at the same time.
         """
         # Positions are only comparable within one term.
         is_full = poll.term != self._term
+        after = 0 if is_full else poll.position
         content = self._content_history.find(
             leader_status.configuration, poll.content_version
         )
-        is_starting = not poll.content_version
-        if is_starting and (is_full or content is not None):
-            if at - self._full_sent_at.get(vm, -math.inf) < _FULL_INTERVAL_S:
-                return _Changes()
-            self._full_sent_at[vm] = at
-        after = 0 if is_full else poll.position
+        if not poll.content_version:
+            if content is not None and not self._content_limit.acquire(vm, at):
+                content = None
+            if is_full and not self._table_limit.acquire(vm, at):
+                # With a newer position the VM would never get the changes
+                # before it.
+                return _Changes(after, content=content)
         return _Changes(
+            self._table.position,
             self._table.list_rows(after),
             is_full,
             content,
--- a/tests/attachment/test_server.py
+++ b/tests/attachment/test_server.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import random
+
+from parameterized import parameterized
 from testtools import TestCase
 
 from cranberryseam.assembly import build_codec
-from cranberryseam.attachment.messages import Poll, PollReply
+from cranberryseam.attachment.client import AttachmentClient
+from cranberryseam.attachment.messages import Departure, Poll, PollReply
 from cranberryseam.attachment.server import AttachmentServer
 from cranberryseam.attachment.table import TargetTable
 from cranberryseam.configuration.model import Configuration
 from cranberryseam.control.replica import LeaderStatus
 from cranberryseam.core.effects import SendMessage
-from cranberryseam.core.events import MessageReceived, Started
+from cranberryseam.core.events import (
+    MessageReceived,
+    Started,
+    TargetState,
+    TimerFired,
+)
 from cranberryseam.ownership import ContactLog
 from cranberryseam.types import TargetId, VmId
 
@@ -24,15 +33,15 @@
 
 
 class _Leader:
-    """Replica that leads with an unchanged configuration."""
+    """Replica that leads, with a configuration that tests may replace."""
 
     leader_vm = VmId('c1')
     members_index = 1
     now = 0.0
+    configuration = Configuration(version=7, content_version=7)
 
     def find_leader_status(self) -> LeaderStatus:
-        configuration = Configuration(version=7, content_version=7)
-        return LeaderStatus(3, 0, self.now, configuration)
+        return LeaderStatus(3, 0, self.now, self.configuration)
 
     def list_members(self) -> tuple[VmId, ...]:
         return (self.leader_vm,)
@@ -58,6 +67,22 @@
             announcement = make_announcement(f't{number}', port=number + 1)
             self._server._table.update(announcement, 0)
 
+    def announce(self, name: str, at: float) -> None:
+        """Add a target."""
+        announcement = make_announcement(name, port=TARGETS + 1)
+        self._server._table.update(announcement, at)
+
+    def depart(self, name: str, at: float) -> None:
+        """Record that a target leaves."""
+        departure = Departure(TargetId(name), born_ms=1)
+        self._server._table.depart(departure, at)
+
+    def replace_configuration(self, version: int) -> None:
+        """Put a configuration in force."""
+        self._leader.configuration = Configuration(
+            version=version, content_version=version
+        )
+
     def poll(self, vm: str, at: float, poll: Poll) -> PollReply:
         """Return the reply to a poll."""
         self._leader.now = at
@@ -115,6 +140,106 @@
         self.assertTrue(server.poll('e1', 1.1, known).is_full)
 
 
+class _Client:
+    """VM without a configuration that polls the server."""
+
+    def __init__(self, server: _Server) -> None:
+        self._server = server
+        self._client = AttachmentClient(make_settings('e1'), random.Random(3))
+        self._client.leader = VmId('c1')
+        self._client.handle(Started(0, 0))
+
+    def poll(self, at: float) -> PollReply:
+        """Return the reply to a poll, which has not arrived yet."""
+        self._client._replied_at = at
+        outputs = self._client.handle(TimerFired(at, '', ''))
+        (poll,) = [
+            out.message for out in outputs if isinstance(out, SendMessage)
+        ]
+        return self._server.poll('e1', at, poll)
+
+    def receive(self, reply: PollReply, at: float) -> None:
+        """Apply a reply."""
+        self._client.handle(MessageReceived(at, VmId('c1'), reply))
+
+    def find_state(self, name: str) -> TargetState | None:
+        """Return the known state of a target."""
+        row = self._client.rows.get(TargetId(name))
+        return row.announcement.state if row else None
+
+
+class ChangesAtTheStartTest(TestCase):
+    """Targets change while a starting VM gets its first replies.
+
+    The leader sends the whole table and the first configuration only once in
+    a while to such a VM.
+    """
+
+    def check(self, server: _Server, client: _Client, at: float) -> None:
+        """Check what the VM knows after a further reply."""
+        client.receive(client.poll(at), at + ROUND_TRIP_S)
+        self.assertEqual(TargetState.ready, client.find_state('new'))
+        self.assertEqual(TargetState.draining, client.find_state('t0'))
+
+    def test_after_the_whole_table(self) -> None:
+        """Guards against changes that the next reply skips.
+
+        The next poll is sent before the whole table arrives.
+        """
+        server = _Server()
+        client = _Client(server)
+        replies = [client.poll(0)]
+        server.announce('new', 0.05)
+        server.depart('t0', 0.05)
+        replies.append(client.poll(0.1))
+        for reply in replies:
+            client.receive(reply, 0.15)
+        self.check(server, client, 0.4)
+
+    @parameterized.expand([('at_once', 0.1), ('later', 0.4)])
+    def test_beside_the_first_configuration(self, _: str, at: float) -> None:
+        """Guards against targets that stay unknown after the first start.
+
+        They announce themselves as soon as the first configuration is in
+        force.
+        """
+        server = _Server()
+        server.replace_configuration(0)
+        client = _Client(server)
+        client.receive(client.poll(0), 0.05)
+        server.replace_configuration(7)
+        replies = [client.poll(at)]
+        server.announce('new', at)
+        server.depart('t0', at)
+        replies.append(client.poll(at + 0.1))
+        for reply in replies:
+            client.receive(reply, at + 0.15)
+        self.check(server, client, at + 0.5)
+
+    def test_first_configuration_after_the_table(self) -> None:
+        """Guards against a first configuration that waits for the table."""
+        server = _Server()
+        server.replace_configuration(0)
+        client = _Client(server)
+        client.receive(client.poll(0), 0.05)
+        server.replace_configuration(7)
+        self.assertIsNotNone(client.poll(0.1).content)
+
+    def test_lost_replies(self) -> None:
+        """Guards against changes that are lost with a reply."""
+        server = _Server()
+        server.replace_configuration(0)
+        client = _Client(server)
+        client.poll(0)
+        server.announce('new', 0.05)
+        client.receive(client.poll(0.1), 0.15)
+        client.poll(0.35)
+        server.replace_configuration(7)
+        server.depart('t0', 0.4)
+        client.receive(client.poll(0.45), 0.5)
+        self.check(server, client, 0.8)
+
+
 class AddressTest(TestCase):
     """An address belongs to the target that started last at it."""
 
