Limit the time and the memory that one endless answer takes

Another operator's machine kept all such bytes and ran out of memory.

Cause: the response was read one chunk at a time from what had been received, without a turn for the event loop, and each chunk was forwarded by itself. Interim responses had no limit.

Change: all that is received of a body, up to 64 KiB, is one part. After 64 small chunks a response waits for a turn, and the turns of all connections are 10 ms apart. 32 interim responses are the limit. Reading pauses at 64 KiB.

--- a/src/cranberryseam/serving/connection_pool.py
+++ b/src/cranberryseam/serving/connection_pool.py
@@ -13,7 +13,7 @@
 
 from .asgi import HeaderList
 from .headers import HOST
-from .target_transport import Address, TargetTransport
+from .target_transport import Address, ParsingSchedule, TargetTransport
 
 # Several round trips between regions. TCP retransmits a lost SYN only after a
 # second; no request was sent by then, so another target is tried sooner.
@@ -109,8 +109,7 @@
         if self.idle_since is not None and not (
             self.transport.is_open and self.transport.is_quiet
         ):
-            self.transport.abort()
-            self.transport = _open_transport(self.address)
+            self.transport = self.transport.replace()
             self.idle_since = None
         url, host = _build_origin(self.address)
         request = httpx.Request(
@@ -144,6 +143,7 @@
         self._clock = clock
         self._idle: dict[Address, list[TargetConnection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._schedule = ParsingSchedule()
 
     def acquire(
         self, address: Address, max_idle_s: float = math.inf
@@ -166,7 +166,8 @@
             return connection
         # The most recently used connection comes last, so if it is too old, all
         # others are too. ``close_expired`` closes them.
-        return TargetConnection(address, _open_transport(address), now)
+        transport = TargetTransport(address, CONNECT_TIMEOUT_S, self._schedule)
+        return TargetConnection(address, transport, now)
 
     def was_closed_idle(self, connection: TargetConnection) -> bool:
         """Return whether a request failed on a closed idle connection.
@@ -234,10 +235,6 @@
         _abort_all(idle)
 
 
-def _open_transport(address: Address) -> TargetTransport:
-    return TargetTransport(address, CONNECT_TIMEOUT_S)
-
-
 def _is_usable(
     connection: TargetConnection, max_idle_s: float, now: float
 ) -> bool:
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -184,16 +184,14 @@
 
 async def read_buffered_part(response: TargetResponse) -> None:
     """Buffer the body up to ``BUFFERED_BYTES``."""
-    chunks: list[bytes] = []
-    size = 0
+    buffered = bytearray()
     async for chunk in response.chunks:
-        chunks.append(chunk)
-        size += len(chunk)
-        if size >= BUFFERED_BYTES:
+        buffered += chunk
+        if len(buffered) >= BUFFERED_BYTES:
             break
     else:
         response.complete = True
-    response.buffered = b''.join(chunks)
+    response.buffered = bytes(buffered)
     if response.complete and not response.delimited:
         length = b'%d' % len(response.buffered)
         response.headers.append((CONTENT_LENGTH, length))
--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -14,11 +14,41 @@
 
 # Largest head of a response, and of the framing between two chunks.
 _MAX_HEAD_BYTES: Final = 102_400
+_MAX_INTERIM_RESPONSES: Final = 32
 # Reading pauses while more than this waits for its consumer.
-_MAX_UNREAD_BYTES: Final = 262_144
+_MAX_UNREAD_BYTES: Final = 65_536
+# Largest part of a body that is returned at once.
+_MAX_PART_BYTES: Final = 65_536
+# Chunks of a body that are parsed in one turn of the event loop, about 1 ms.
+_CHUNKS_PER_TURN: Final = 64
+# Turns for bodies of small chunks take at most a tenth of the time.
+_TURN_INTERVAL_S: Final = 0.01
+_ENDED_STATES: Final = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
+_RECEIVE_BUFFER_BYTES: Final = 65_536
+# Shared by all connections, since received bytes are copied at once.
+_RECEIVE_BUFFER: Final = memoryview(bytearray(_RECEIVE_BUFFER_BYTES))
+
+
+class ParsingSchedule:
+    """Turns of all connections of a process for bodies of small chunks.
+
+    The costs of parsing and forwarding are those of a chunk, so a target that
+    sends small chunks without end could occupy the event loop.
+    """
+
+    def __init__(self) -> None:
+        """Create a schedule without turns."""
+        self._next_at: float = 0
+
+    async def wait_for_turn(self) -> None:
+        """Wait until the next free turn."""
+        now = asyncio.get_running_loop().time()
+        turn_at = max(now, self._next_at)
+        self._next_at = turn_at + _TURN_INTERVAL_S
+        await asyncio.sleep(turn_at - now)
 
 
-class TargetTransport(httpx.AsyncBaseTransport, asyncio.Protocol):
+class TargetTransport(httpx.AsyncBaseTransport, asyncio.BufferedProtocol):
     """A single connection, used by one request at a time.
 
     It reads while it is idle, too. Bytes outside of the response to the
@@ -30,13 +60,24 @@
         Address of the target.
     connect_timeout_s
         Limit for the connection.
+    schedule
+        Shared by all connections of the process.
 
     """
 
-    def __init__(self, address: Address, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float,
+        schedule: ParsingSchedule,
+    ) -> None:
         """Create a transport that connects with its first request."""
         self._address = address
         self._connect_timeout_s = connect_timeout_s
+        self._schedule = schedule
+        # Chunks, and their bytes, since the last turn.
+        self._chunks = 0
+        self._chunk_bytes = 0
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -86,9 +127,7 @@
         self._in_use = True
         request.extensions['on_write']()
         await self._write_request(request)
-        event = await self._read_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._read_event()
+        event = await self._read_final_response()
         if not isinstance(event, h11.Response):
             raise httpx.RemoteProtocolError(
                 f'expected a response, got {type(event).__name__}'
@@ -100,9 +139,21 @@
         )
 
     async def read_body(self) -> bytes:
-        """Return the next part of the body, empty at its end."""
-        event = await self._read_event()
-        return bytes(event.data) if isinstance(event, h11.Data) else b''
+        """Return what is received of the body, empty at its end."""
+        if self._http.their_state in _ENDED_STATES:
+            return b''
+        if self._chunks >= _CHUNKS_PER_TURN:
+            await self._finish_turn()
+        part = bytearray()
+        event: h11.Event | None = await self._read_event()
+        while isinstance(event, h11.Data):
+            part += event.data
+            self._chunks += 1
+            if len(part) >= _MAX_PART_BYTES or self._chunks >= _CHUNKS_PER_TURN:
+                break
+            event = self._next_event()
+        self._chunk_bytes += len(part)
+        return bytes(part)
 
     def end_response(self) -> None:
         """Make it usable again, or close it if that isn't safe."""
@@ -115,6 +166,8 @@
             return
         self._http.start_next_cycle()
         self._unread_bytes = 0
+        self._chunks = 0
+        self._chunk_bytes = 0
         self._in_use = False
 
     def abort(self) -> None:
@@ -127,19 +180,30 @@
         """Close it; see ``httpx.AsyncBaseTransport``."""
         self.abort()
 
+    def replace(self) -> TargetTransport:
+        """Close it and return a new one to the same target."""
+        self.abort()
+        return TargetTransport(
+            self._address, self._connect_timeout_s, self._schedule
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the socket; see ``asyncio.Protocol``."""
         self._socket = cast('asyncio.Transport', transport)
         if self._ended:
             self._socket.abort()
 
-    def data_received(self, received: bytes) -> None:
-        """Buffer a part of the response."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer that limits the bytes of one read."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Store a part of the response."""
         if not self._in_use:
             self.abort()
             return
-        self._http.receive_data(received)
-        self._unread_bytes += len(received)
+        self._http.receive_data(bytes(_RECEIVE_BUFFER[:nbytes]))
+        self._unread_bytes += nbytes
         if self._unread_bytes > _MAX_UNREAD_BYTES and self._socket is not None:
             self._paused = True
             self._socket.pause_reading()
@@ -217,6 +281,26 @@
             self._socket.write(raw)
         return True
 
+    async def _read_final_response(self) -> h11.Event:
+        event = await self._read_event()
+        interim = 0
+        while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > _MAX_INTERIM_RESPONSES:
+                raise httpx.RemoteProtocolError(
+                    f'expected a response, got {interim} interim ones'
+                )
+            event = await self._read_event()
+        return event
+
+    async def _finish_turn(self) -> None:
+        """Wait for the next turn unless the chunks were large."""
+        is_small = self._chunk_bytes < _MAX_PART_BYTES
+        self._chunks = 0
+        self._chunk_bytes = 0
+        if is_small:
+            await self._schedule.wait_for_turn()
+
     async def _read_event(self) -> h11.Event:
         event = self._next_event()
         while event is None:
@@ -276,4 +360,4 @@
     return bool(poll.poll(0))
 
 
-__all__ = ('TargetTransport',)
+__all__ = ('Address', 'ParsingSchedule', 'TargetTransport')
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -4,7 +4,11 @@
 
 import asyncio
 import contextlib
+import socket
+import threading
 import time
+import tracemalloc
+from collections.abc import Iterator
 
 import attrs
 import testtools
@@ -232,3 +236,127 @@
         self.assertEqual(observation.in_flight, 0)
         if max_read_bytes is not None:
             self.assertLess(endless_target.sent, max_read_bytes)
+
+
+# Requests to endless targets at the same time.
+ENDLESS_REQUESTS = 24
+# A VM of 300 MB holds the answers of a few hundred targets.
+MAX_HELD_BYTES = 524_288
+SMALL_CHUNK = b'1\r\nx\r\n'
+FAST_ANSWERS = (
+    ('chunks_of_1', CHUNKED, SMALL_CHUNK),
+    ('chunks_of_64', CHUNKED, b'40\r\n' + b'x' * 64 + b'\r\n'),
+    ('chunks_of_256', CHUNKED, b'100\r\n' + b'x' * 256 + b'\r\n'),
+    ('long_extensions', CHUNKED, b'1;%b\r\nx\r\n' % (b'e' * 2000)),
+    ('large_chunks', CHUNKED, b'1000\r\n' + CHUNK + b'\r\n'),
+    ('no_length', HEAD + b'\r\n', CHUNK),
+    ('interim_answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+)
+
+
+@contextlib.contextmanager
+def run_endless_threads(prefix: bytes, chunk: bytes) -> Iterator[int]:
+    """Serve endless answers outside of the event loop; yield the port."""
+    piece = chunk * max(1, 65_536 // len(chunk))
+
+    def send(connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(prefix)
+            while True:
+                connection.sendall(piece)
+
+    def accept(listener: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                threading.Thread(
+                    target=send, args=(connection,), daemon=True
+                ).start()
+
+    with socket.create_server(('127.0.0.1', 0), backlog=512) as listener:
+        thread = threading.Thread(target=accept, args=(listener,), daemon=True)
+        thread.start()
+        yield listener.getsockname()[1]
+        listener.shutdown(socket.SHUT_RDWR)
+        thread.join()
+
+
+async def measure_others(
+    prefix: bytes, chunk: bytes, *, traced: bool = False
+) -> tuple[list[float], int]:
+    """Return how long other requests take beside those to endless targets.
+
+    Parameters
+    ----------
+    traced
+        Whether the bytes that are held at most are counted, the second result.
+
+    """
+    reducer = ForwardingReducer(timeout_s=TIMEOUT_S)
+    arrivals: list[int] = []
+
+    def choose(event: RequestArrived) -> list:
+        arrivals.append(event.request_id)
+        is_endless = len(arrivals) <= ENDLESS_REQUESTS
+        start = reducer.start(event.request_id, len(arrivals))
+        port = endless_port if is_endless else working_port
+        timeout_s = 2 * TIMEOUT_S if is_endless else MAX_DURATION_S
+        return [attrs.evolve(start, port=port, answer_timeout_s=timeout_s)]
+
+    async def call_and_discard() -> None:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', fixture.port
+        )
+        writer.write(GET)
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(65_536):
+                await asyncio.sleep(0)
+        writer.close()
+
+    reducer.rules[RequestArrived] = choose
+    durations: list[float] = []
+    with run_endless_threads(prefix, chunk) as endless_port:
+        async with (
+            run_target(respond_once(OK)) as working_port,
+            run_gateway(reducer) as fixture,
+        ):
+            if traced:
+                tracemalloc.start()
+            endless = [
+                asyncio.create_task(call_and_discard())
+                for _ in range(ENDLESS_REQUESTS)
+            ]
+            while len(arrivals) < ENDLESS_REQUESTS:
+                await asyncio.sleep(PAUSE_S)
+            ends_at = time.monotonic() + TIMEOUT_S
+            while time.monotonic() < ends_at:
+                started_at = time.monotonic()
+                reply = await fixture.send_raw(GET)
+                durations.append(time.monotonic() - started_at)
+                assert reply.endswith(b'\r\n\r\nok'), reply
+            await asyncio.gather(*endless)
+    held = tracemalloc.get_traced_memory()[1] if traced else 0
+    tracemalloc.stop()
+    return durations, held
+
+
+class ManyEndlessAnswersTest(testtools.TestCase):
+    """Many requests at once get answers without end, as fast as possible."""
+
+    @parameterized.expand(FAST_ANSWERS)
+    def test_other_requests(self, _: str, prefix: bytes, chunk: bytes) -> None:
+        """Guards against an event loop that endless answers occupy.
+
+        The requests of other callers timed out.
+        """
+        durations, _held = asyncio.run(measure_others(prefix, chunk))
+        self.assertLess(max(durations), MAX_OTHER_DURATION_S)
+
+    @parameterized.expand(FAST_ANSWERS)
+    def test_memory(self, _: str, prefix: bytes, chunk: bytes) -> None:
+        """Guards against a process that keeps all that targets send."""
+        _durations, held = asyncio.run(
+            measure_others(prefix, chunk, traced=True)
+        )
+        self.assertLess(held / ENDLESS_REQUESTS, MAX_HELD_BYTES)
