Require the request id in every response of the platform's targets

On the code until now, a copy of an earlier 404, 500 or 503 could reach the client of the next request on the same connection.

Change: any response to a request with an id needs that id. A response that is not accepted leaves a log line with its reason, which is a type. test_acceptance expected that a failure without an id is accepted; that was the fault, and the case now expects the opposite.

--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -25,7 +25,12 @@
 from .connection_pool import ConnectionPool, WriteTrace
 from .dialect import Dialect
 from .pending_requests import PendingRequest, RequestEnd, name_attempt
-from .responses import TargetResponse, open_response, read_buffered_part
+from .responses import (
+    ResponseFault,
+    TargetResponse,
+    open_response,
+    read_buffered_part,
+)
 
 # Limit for a single step of forwarding; the whole response may take longer.
 _STALL_TIMEOUT_S = 30.0
@@ -147,15 +152,17 @@
         self._http_response = await self._connection.send(
             target_request, self._trace
         )
-        response = open_response(
+        opened = open_response(
             self._http_response,
             target_request.method,
             dialect,
             self._request.head.caller_request_id,
             name_attempt(self._effect),
         )
-        if response is None:
+        if opened.is_error():
+            self._log_fault(opened.error)
             return AttemptFailure.answer_invalid
+        response = opened.ok
         await read_buffered_part(response)
         if response.complete:
             await self._release(reusable=response.keeps_connection)
@@ -167,6 +174,14 @@
         await self._forward(response)
         return None
 
+    def _log_fault(self, fault: ResponseFault) -> None:
+        fields = {
+            'target': self._effect.target,
+            'fault': fault.value,
+            'request': self._request.head.caller_request_id.decode('latin-1'),
+        }
+        _log.warning('response not accepted', extra={'fields': fields})
+
     def _replace_timeout(self, response: TargetResponse) -> None:
         """Replace the time limit of buffering by that of the whole response."""
         self._timer.cancel()
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from enum import Enum
 from http import HTTPStatus
 
 import attrs
 import httpx
+from expression import Error, Ok, Result
 
 from ..core.events import StoredAnswer, TargetStatement
 from .asgi import HeaderList
@@ -36,6 +38,17 @@
 _MAX_STATUS = 599
 
 
+class ResponseFault(Enum):
+    """Why a response is not accepted."""
+
+    status = 'status'
+    framing = 'framing'
+    other_attempt = 'other_attempt'
+    other_request = 'other_request'
+    no_request_id = 'no_request_id'
+    not_authentic = 'not_authentic'
+
+
 @attrs.define(eq=False)
 class TargetResponse:
     """A response of a target with the buffered part of its body.
@@ -109,21 +122,21 @@
     dialect: Dialect = DEFAULT_DIALECT,
     caller_request_id: bytes = b'',
     attempt_id: bytes = b'',
-) -> TargetResponse | None:
-    """Check the head of a response; return None if it can't be accepted.
+) -> Result[TargetResponse, ResponseFault]:
+    """Check the head of a response.
 
     A response that is delimited by the end of its connection can't be
     distinguished from a truncated one. It is only accepted if the targets are
     known to reset the connection of a response that they can't complete.
 
-    A response with the identifier of another request or attempt is a late one
-    for that request or attempt.
+    A response with the identifier of another request or attempt, or without
+    one, is a late one for that request or attempt.
     """
     status = http_response.status_code
     if not _MIN_FINAL_STATUS <= status <= _MAX_STATUS:
-        return None
+        return Error(ResponseFault.status)
     if not isinstance(http_response.stream, httpx.AsyncByteStream):
-        return None
+        return Error(ResponseFault.framing)
     raw = http_response.headers.raw
     names = [name.lower() for name, _ in raw]
     has_length = CONTENT_LENGTH in names
@@ -136,19 +149,22 @@
         or close_delimited
         and not dialect.accept_close_delimited
     ):
-        return None
+        return Error(ResponseFault.framing)
     headers = select_response_headers(raw)
     if _names_other_attempt(headers, dialect, attempt_id):
-        return None
-    if not _is_authentic(status, headers, dialect, caller_request_id):
-        return None
-    return TargetResponse(
-        status,
-        remove_statement(headers, dialect),
-        aiter(http_response.stream),
-        dialect,
-        delimited=not close_delimited,
-        statement=read_statement(status, headers, dialect),
+        return Error(ResponseFault.other_attempt)
+    fault = _find_origin_fault(status, headers, dialect, caller_request_id)
+    if fault is not None:
+        return Error(fault)
+    return Ok(
+        TargetResponse(
+            status,
+            remove_statement(headers, dialect),
+            aiter(http_response.stream),
+            dialect,
+            delimited=not close_delimited,
+            statement=read_statement(status, headers, dialect),
+        )
     )
 
 
@@ -161,25 +177,29 @@
     )
 
 
-def _is_authentic(
+def _find_origin_fault(
     status: int, headers: HeaderList, dialect: Dialect, caller_request_id: bytes
-) -> bool:
+) -> ResponseFault | None:
+    """Return why a response may not be the target's to this request."""
     fields = dict(headers)
     request_ids = [
         value for name, value in headers if name == dialect.request_id_header
     ]
     if caller_request_id and set(request_ids) - {caller_request_id}:
-        return False
+        return ResponseFault.other_request
+    # Targets echo the identifier, so a copy of an earlier response without it
+    # can be told from the expected one, whatever its status.
+    if caller_request_id and dialect.request_id_header and not request_ids:
+        return ResponseFault.no_request_id
     if not dialect.authenticity_header or status >= HTTPStatus.MULTIPLE_CHOICES:
-        return True
-    # A late response without an identifier may belong to another request.
-    if caller_request_id and not request_ids:
-        return False
+        return None
     # A content encoding was added by an intermediary, not by the target.
-    return (
+    if (
         dialect.authenticity_header in fields
         and _CONTENT_ENCODING not in fields
-    )
+    ):
+        return None
+    return ResponseFault.not_authentic
 
 
 async def read_buffered_part(response: TargetResponse) -> None:
@@ -209,6 +229,7 @@
 __all__ = (
     'BUFFERED_BYTES',
     'MAX_STORED_BYTES',
+    'ResponseFault',
     'TargetResponse',
     'open_response',
     'read_buffered_part',
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -18,6 +18,7 @@
 _SEAL = (b'Response-Seal', b'3e1b')
 _LENGTH = (b'Content-Length', b'2')
 _REQUEST_ID = (b'Request-Id', b'9c41')
+_NOT_EXECUTED = (b'Not-Executed', b'1')
 _OTHER_REQUEST_ID = (b'Request-Id', b'77')
 _ReceivedResponse = tuple[int, *tuple[tuple[bytes, bytes], ...]]
 
@@ -33,11 +34,15 @@
     return check_head(scope, RequestSettings(), DIALECT)
 
 
-def _open(status: int, *headers: tuple[bytes, bytes]):  # noqa: ANN202
+def _open(  # noqa: ANN202
+    status: int,
+    *headers: tuple[bytes, bytes],
+    request_id: bytes = _REQUEST_ID[1],
+):
     response = httpx.Response(
         status, headers=list(headers), stream=httpx.ByteStream(b'ok')
     )
-    return open_response(response, 'GET', DIALECT, b'9c41')
+    return open_response(response, 'GET', DIALECT, request_id)
 
 
 class RequestTest(TestCase):
@@ -89,7 +94,9 @@
                 (200, _SEAL, _LENGTH, _OTHER_REQUEST_ID, _REQUEST_ID),
                 False,
             ),
-            ('failure without an id', (500, _LENGTH), True),
+            ('failure without an id', (500, _LENGTH), False),
+            ('refusal without an id', (503, _LENGTH, _NOT_EXECUTED), False),
+            ('refusal', (503, _LENGTH, _NOT_EXECUTED, _REQUEST_ID), True),
             ('ends with its connection', (200, _SEAL, _REQUEST_ID), True),
             ('failure without seal', (500, _LENGTH, _REQUEST_ID), True),
         ]
@@ -98,7 +105,12 @@
         self, _: str, received: _ReceivedResponse, accepted: bool
     ) -> None:
         """Guards against sending a client the response of another request."""
-        self.assertEqual(_open(*received) is not None, accepted)
+        self.assertEqual(_open(*received).is_ok(), accepted)
+
+    def test_request_without_id(self) -> None:
+        """Guards against refusing what targets answer without an id to echo."""
+        answer = _open(400, _LENGTH, _NOT_EXECUTED, request_id=b'')
+        self.assertTrue(answer.ok.not_run)
 
     @parameterized.expand(
         [
@@ -113,9 +125,9 @@
         self, _: str, status: int, has_header: bool, expected: bool
     ) -> None:
         """Guards against retrying a request that may have run."""
-        not_run_header = ((b'Not-Executed', b'1'),) if has_header else ()
-        answer = _open(status, _LENGTH, *not_run_header)
-        self.assertEqual(answer.not_run, expected)
+        not_run_header = (_NOT_EXECUTED,) if has_header else ()
+        answer = _open(status, _LENGTH, _REQUEST_ID, *not_run_header)
+        self.assertEqual(answer.ok.not_run, expected)
 
 
 class RefusalTest(TestCase):
--- a/tests/serving/test_faulty_targets.py
+++ b/tests/serving/test_faulty_targets.py
@@ -306,6 +306,98 @@
             self.assertTrue(second.endswith(b'answer 2'), second)
 
 
+@attrs.define(eq=False)
+class _UnnamedCopyTarget:
+    """Repeats its first response without the identifier of the request.
+
+    Parameters
+    ----------
+    status, line
+        Status line and a header of the first response.
+    at_once
+        Whether the copy follows the first response at once, or when the next
+        request of the connection has been read.
+
+    """
+
+    status: bytes
+    line: bytes
+    at_once: bool
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            request = await read_request(reader)
+            writer.write(self._respond(request, self.status, self.line))
+            copy = self._respond(b'', self.status, self.line)
+            if self.at_once:
+                writer.write(copy)
+            while True:
+                request = await read_request(reader)
+                if not self.at_once:
+                    writer.write(copy)
+                writer.write(self._respond(request, b'200 OK', b''))
+        writer.close()
+
+    def _respond(self, request: bytes, status: bytes, line: bytes) -> bytes:
+        lines = b''.join(
+            echoed + b'\r\n'
+            for echoed in request.split(b'\r\n')
+            if echoed.lower().startswith(b'request-id')
+        )
+        interface = attrs.evolve(
+            _INTERFACES[1], response_lines=b'Response-Seal: s\r\n'
+        )
+        return interface.build_response(status, lines + line, status[:3])
+
+
+class UnnamedCopyTest(testtools.TestCase):
+    """A copy of an earlier response has no identifier of a request."""
+
+    @parameterized.expand(
+        [
+            (f'{status[:3].decode()}_{"at_once" if at_once else "in_use"}',)
+            + (status, line, at_once)
+            for (status, line), at_once in itertools.product(
+                (
+                    (b'200 OK', b''),
+                    (b'404 Not Found', b''),
+                    (b'500 Failed', b''),
+                    (b'503 Full', b'Retry-After: 1\r\n'),
+                ),
+                (True, False),
+            )
+        ]
+    )
+    def test_next_request(
+        self, _: str, status: bytes, line: bytes, at_once: bool
+    ) -> None:
+        """Guards against the answer of an earlier request for a later one."""
+        target = _UnnamedCopyTarget(status, line, at_once)
+
+        async def scenario() -> list[bytes]:
+            reducer = ForwardingReducer()
+            request = _INTERFACES[1].build_request()
+            async with (
+                run_target(target.serve) as reducer.port,
+                run_gateway(reducer, DIALECT) as fixture,
+            ):
+                return [
+                    await fixture.send_raw(request.replace(b'r1', request_id))
+                    for request_id in (b'r1', b'r2')
+                ]
+
+        first, second = asyncio.run(scenario())
+        self.assertTrue(first.endswith(status[:3]), first)
+        if at_once:
+            # The copy is noticed before its connection is used again.
+            self.assertNotIn(b'HTTP/1.1 502', second)
+        else:
+            # The request may run, so it isn't sent to another target.
+            self.assertTrue(second.startswith(b'HTTP/1.1 502'), second)
+
+
 class CutResponseTest(testtools.TestCase):
     """A target closes its connection within a response."""
 
