Refuse a promise of "not run" that no target has given

Callers would have seen: a 408, 429 or 503 for a request that must not be repeated, although its target may have run it. On the platform these statuses promise that it never runs, and clients repeat it after them (REFUSED).

Cause: such a response without Not-Executed was forwarded as it is, so its status became a promise of this system.

Change: the response tells the reducer whether its status would promise more than the target states. If the request may not be repeated, the caller gets outcome_unknown (502) in its place; what may be repeated is forwarded or retried as before. 421 states it by itself. Own interface: unchanged, there the refusal document says whether the request ran.

--- a/src/cranberryseam/core/events.py
+++ b/src/cranberryseam/core/events.py
@@ -247,6 +247,9 @@
         What the target says of itself.
     body_bytes
         Length of the body as far as it has been received.
+    is_unconfirmed_refusal
+        True if the caller would read the status as a promise that the request
+        did not run, which the target does not state.
 
     """
 
@@ -259,6 +262,7 @@
     answer: StoredAnswer | None = None
     statement: TargetStatement = TargetStatement()
     body_bytes: int = 0
+    is_unconfirmed_refusal: bool = False
 
 
 @attrs.frozen
--- a/src/cranberryseam/requests/attempts.py
+++ b/src/cranberryseam/requests/attempts.py
@@ -246,8 +246,27 @@
             ]
         if event.not_run:
             return self._refuse_overloaded(state, event)
+        if event.is_unconfirmed_refusal and not state.retriable:
+            return self._refuse_unconfirmed(state, event, outcome)
         return self._forward(state, event, outcome)
 
+    def _refuse_unconfirmed(
+        self,
+        state: RequestState,
+        event: ev.AnswerReady,
+        outcome: AttemptOutcome,
+    ) -> _Outputs:
+        """Tell the caller that the request may have run.
+
+        The status of the target would let it send the request again.
+        """
+        refusal = Refusal(RefusalReason.outcome_unknown, Executed.unknown)
+        return [
+            fx.CancelAttempt(state.request_id, event.attempt_id),
+            *self._requests.release(state, outcome, event.at),
+            *self._requests.refuse(state, refusal, event.at),
+        ]
+
     def _refuse_overloaded(
         self, state: RequestState, event: ev.AnswerReady
     ) -> _Outputs:
--- a/src/cranberryseam/serving/attempts.py
+++ b/src/cranberryseam/serving/attempts.py
@@ -258,6 +258,7 @@
                 answer=response.store() if effect.keep_answer else None,
                 statement=response.statement,
                 body_bytes=len(response.buffered),
+                is_unconfirmed_refusal=response.is_unconfirmed_refusal,
             )
         )
 
--- a/src/cranberryseam/serving/dialect.py
+++ b/src/cranberryseam/serving/dialect.py
@@ -48,6 +48,9 @@
         its value; an empty value matches any value.
     not_run_statuses
         Statuses with which ``not_run_header`` is trusted; empty means all.
+    promise_statuses
+        Statuses by which callers learn that a request has not run and never
+        will.
     authenticity_header
         Header that every successful response of a target has; a success
         without it was not sent by the target.
@@ -79,6 +82,7 @@
     not_run_header: bytes = b'cranberryseam-not-run'
     not_run_value: bytes = b'1'
     not_run_statuses: frozenset[int] = _SHEDDING
+    promise_statuses: frozenset[int] = frozenset()
     authenticity_header: bytes = b''
     rate_limit_header: bytes = b'cranberryseam-rate-limit'
     leaving_header: bytes = b'cranberryseam-leaving'
--- a/src/cranberryseam/serving/responses.py
+++ b/src/cranberryseam/serving/responses.py
@@ -92,6 +92,11 @@
             for name, value in self.headers
         )
 
+    @property
+    def is_unconfirmed_refusal(self) -> bool:
+        """Whether its status promises "not run" and the target doesn't."""
+        return self.status in self.dialect.promise_statuses and not self.not_run
+
     @property
     def keeps_connection(self) -> bool:
         """Whether its connection may be used for another request.
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -129,6 +129,29 @@
         answer = _open(status, _LENGTH, _REQUEST_ID, *not_run_header)
         self.assertEqual(answer.ok.not_run, expected)
 
+    @parameterized.expand(
+        [
+            (f'{status}_{"stated" if stated else "bare"}', status, stated, bare)
+            for status, bare in (
+                (408, True),
+                (429, True),
+                (503, True),
+                # Stated by the status itself.
+                (421, False),
+                (500, False),
+                (200, False),
+            )
+            for stated in (True, False)
+        ]
+    )
+    def test_unconfirmed_refusal(
+        self, _: str, status: int, stated: bool, bare: bool
+    ) -> None:
+        """Guards against promises to clients that no upstream has given."""
+        stated_header = (_NOT_EXECUTED,) if stated else ()
+        answer = _open(status, _SEAL, _LENGTH, _REQUEST_ID, *stated_header)
+        self.assertEqual(bare and not stated, answer.ok.is_unconfirmed_refusal)
+
 
 class RefusalTest(TestCase):
     """Statuses that guarantee that a request never runs."""
--- a/tests/requests/test_coordinator.py
+++ b/tests/requests/test_coordinator.py
@@ -191,6 +191,32 @@
         retried = any(isinstance(each, fx.StartAttempt) for each in effects)
         self.assertEqual(retried, kind is fx.CancelAttempt)
 
+    @parameterized.expand([(408,), (429,), (503,)])
+    def test_unconfirmed_refusal(self, status: int) -> None:
+        """Guards against telling "not run" for a request that may have run."""
+        driver = _Driver(FakeCollaborators())
+        driver.apply(_make_arrival(build_head('POST')))
+        answer = attrs.evolve(
+            _make_answer(1, status), is_unconfirmed_refusal=True
+        )
+        effects = driver.apply(answer)
+        self.assertIsInstance(effects[0], fx.CancelAttempt)
+        (refused,) = [
+            effect for effect in effects if isinstance(effect, fx.RefuseRequest)
+        ]
+        self.assertEqual(
+            (RefusalReason.outcome_unknown, Executed.unknown),
+            (refused.refusal.reason, refused.refusal.ran),
+        )
+
+    def test_unconfirmed_refusal_of_a_read(self) -> None:
+        """Guards against refusing what the caller may repeat anyway."""
+        driver = _Driver(FakeCollaborators())
+        driver.apply(_make_arrival(build_head('GET')))
+        answer = attrs.evolve(_make_answer(1, 408), is_unconfirmed_refusal=True)
+        effects = driver.apply(answer)
+        self.assertIsInstance(effects[0], fx.ForwardAnswer)
+
     def test_shed_attempts_keep_target_and_limit(self) -> None:
         """A request that was shed repeatedly must still get a free slot."""
         driver = _Driver(FakeCollaborators())
