--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -19,9 +19,9 @@
 _MAX_UNREAD_BYTES: Final = 65_536
 # Largest part of a body that is returned at once.
 _MAX_PART_BYTES: Final = 65_536
-# Chunks of a body that are parsed in one turn of the event loop, about 1 ms.
+# Chunks of a body that are parsed before other tasks get a turn.
 _CHUNKS_PER_TURN: Final = 64
-# Turns for bodies of small chunks take at most a tenth of the time.
+# Least time between two turns for bodies of small chunks.
 _TURN_INTERVAL_S: Final = 0.01
 _ENDED_STATES: Final = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 _RECEIVE_BUFFER_BYTES: Final = 65_536
