Read at most 16 KiB at once from a target

Callers may have seen: requests that take longer beside many long bodies.

Cause: each of 24 connections with an endless body of 4 KiB chunks handled up to 128 KiB in one turn of the event loop, and a short request needs several turns.

Change: one read returns at most 16 KiB and reading pauses above 16 KiB. The bound of the test is unchanged.

--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -16,7 +16,7 @@
 _MAX_HEAD_BYTES: Final = 102_400
 _MAX_INTERIM_RESPONSES: Final = 32
 # Reading pauses while more than this waits for its consumer.
-_MAX_UNREAD_BYTES: Final = 65_536
+_MAX_UNREAD_BYTES: Final = 16_384
 # Largest part of a body that is returned at once.
 _MAX_PART_BYTES: Final = 65_536
 # Chunks of a body that are parsed before other tasks get a turn.
@@ -24,7 +24,8 @@
 # Least time between two turns for bodies of small chunks.
 _TURN_INTERVAL_S: Final = 0.01
 _ENDED_STATES: Final = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
-_RECEIVE_BUFFER_BYTES: Final = 65_536
+# Small, so that many connections with long bodies share the event loop.
+_RECEIVE_BUFFER_BYTES: Final = 16_384
 # Shared by all connections, since received bytes are copied at once.
 _RECEIVE_BUFFER: Final = memoryview(bytearray(_RECEIVE_BUFFER_BYTES))
 
