Test endless answers and unconfirmed refusals by what callers get

UnconfirmedRefusalTest sends requests over real sockets to the gateway with the coordinator. The replies and the memory are checked apart, and answers without a length are accepted in these tests.

No change of the product.

--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -20,11 +20,13 @@
     AttemptFailed,
     RequestArrived,
 )
+from cranberryseam.serving.dialect import DEFAULT_DIALECT
 
 from .harness import (
     GET,
     OK,
     ForwardingReducer,
+    GatewayFixture,
     read_request,
     respond_once,
     run_gateway,
@@ -243,6 +245,7 @@
 # A VM of 300 MB holds the answers of a few hundred targets.
 MAX_HELD_BYTES = 524_288
 SMALL_CHUNK = b'1\r\nx\r\n'
+ENDS_BY_CLOSE = attrs.evolve(DEFAULT_DIALECT, accept_close_delimited=True)
 FAST_ANSWERS = (
     ('chunks_of_1', CHUNKED, SMALL_CHUNK),
     ('chunks_of_64', CHUNKED, b'40\r\n' + b'x' * 64 + b'\r\n'),
@@ -282,15 +285,64 @@
         thread.join()
 
 
-async def measure_others(
+@attrs.frozen
+class Load:
+    """Effects of many endless answers on a gateway.
+
+    Parameters
+    ----------
+    replies, durations_s
+        Replies to the requests to another target, and how long they took.
+    held_bytes
+        Most bytes that the process has allocated; 0 if they weren't traced.
+
+    """
+
+    replies: tuple[bytes, ...]
+    durations_s: tuple[float, ...]
+    held_bytes: int = 0
+
+    def find_failures(self) -> list[bytes]:
+        """Return the replies that aren't answers of the other target."""
+        return [
+            reply for reply in self.replies if not reply.endswith(b'\r\n\r\nok')
+        ]
+
+
+async def call_and_discard(port: int) -> None:
+    """Send a request and read as fast as possible until the end."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(GET)
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(65_536):
+            await asyncio.sleep(0)
+    writer.close()
+
+
+async def call_repeatedly(fixture: GatewayFixture, duration_s: float) -> Load:
+    """Send requests one after another; without an answer a reply is empty."""
+    replies: list[bytes] = []
+    durations_s: list[float] = []
+    ends_at = time.monotonic() + duration_s
+    while time.monotonic() < ends_at:
+        started_at = time.monotonic()
+        reply = b''
+        with contextlib.suppress(TimeoutError):
+            reply = await fixture.send_raw(GET)
+        replies.append(reply)
+        durations_s.append(time.monotonic() - started_at)
+    return Load(tuple(replies), tuple(durations_s))
+
+
+async def measure_load(
     prefix: bytes, chunk: bytes, *, traced: bool = False
-) -> tuple[list[float], int]:
-    """Return how long other requests take beside those to endless targets.
+) -> Load:
+    """Call a sound target while many requests get endless answers.
 
     Parameters
     ----------
     traced
-        Whether the bytes that are held at most are counted, the second result.
+        Whether allocated bytes are counted, which slows the process down.
 
     """
     reducer = ForwardingReducer(timeout_s=TIMEOUT_S)
@@ -304,41 +356,25 @@
         timeout_s = 2 * TIMEOUT_S if is_endless else MAX_DURATION_S
         return [attrs.evolve(start, port=port, answer_timeout_s=timeout_s)]
 
-    async def call_and_discard() -> None:
-        reader, writer = await asyncio.open_connection(
-            '127.0.0.1', fixture.port
-        )
-        writer.write(GET)
-        with contextlib.suppress(ConnectionError):
-            while await reader.read(65_536):
-                await asyncio.sleep(0)
-        writer.close()
-
     reducer.rules[RequestArrived] = choose
-    durations: list[float] = []
     with run_endless_threads(prefix, chunk) as endless_port:
         async with (
             run_target(respond_once(OK)) as working_port,
-            run_gateway(reducer) as fixture,
+            run_gateway(reducer, ENDS_BY_CLOSE) as fixture,
         ):
             if traced:
                 tracemalloc.start()
             endless = [
-                asyncio.create_task(call_and_discard())
+                asyncio.create_task(call_and_discard(fixture.port))
                 for _ in range(ENDLESS_REQUESTS)
             ]
             while len(arrivals) < ENDLESS_REQUESTS:
                 await asyncio.sleep(PAUSE_S)
-            ends_at = time.monotonic() + TIMEOUT_S
-            while time.monotonic() < ends_at:
-                started_at = time.monotonic()
-                reply = await fixture.send_raw(GET)
-                durations.append(time.monotonic() - started_at)
-                assert reply.endswith(b'\r\n\r\nok'), reply
+            load = await call_repeatedly(fixture, TIMEOUT_S)
             await asyncio.gather(*endless)
-    held = tracemalloc.get_traced_memory()[1] if traced else 0
+    held_bytes = tracemalloc.get_traced_memory()[1] if traced else 0
     tracemalloc.stop()
-    return durations, held
+    return attrs.evolve(load, held_bytes=held_bytes)
 
 
 class ManyEndlessAnswersTest(testtools.TestCase):
@@ -350,13 +386,13 @@
 
         The requests of other callers timed out.
         """
-        durations, _held = asyncio.run(measure_others(prefix, chunk))
-        self.assertLess(max(durations), MAX_OTHER_DURATION_S)
+        load = asyncio.run(measure_load(prefix, chunk))
+        self.assertEqual([], load.find_failures())
+        self.assertLess(max(load.durations_s), MAX_OTHER_DURATION_S)
 
     @parameterized.expand(FAST_ANSWERS)
     def test_memory(self, _: str, prefix: bytes, chunk: bytes) -> None:
         """Guards against a process that keeps all that targets send."""
-        _durations, held = asyncio.run(
-            measure_others(prefix, chunk, traced=True)
-        )
-        self.assertLess(held / ENDLESS_REQUESTS, MAX_HELD_BYTES)
+        load = asyncio.run(measure_load(prefix, chunk, traced=True))
+        self.assertLess(load.held_bytes / ENDLESS_REQUESTS, MAX_HELD_BYTES)
+        self.assertEqual([], load.find_failures())
--- a/tests/serving/test_faulty_targets.py
+++ b/tests/serving/test_faulty_targets.py
@@ -16,10 +16,22 @@
 import testtools
 import uvloop
 from adapter import DIALECT
+from expression import Ok, Result
 from parameterized import parameterized
 
-from cranberryseam.core.events import AnswerEnded, AnswerReady, AttemptFailed
+from cranberryseam.core.effects import Effect
+from cranberryseam.core.events import (
+    AnswerEnded,
+    AnswerReady,
+    AttemptFailed,
+    Event,
+)
+from cranberryseam.core.notices import Notice, SlotAssigned
+from cranberryseam.core.refusals import Refusal
+from cranberryseam.routing.model import AdmitRequest
 from cranberryseam.serving.dialect import DEFAULT_DIALECT, Dialect
+from cranberryseam.types import AccountId, Output, TargetId
+from tests.requests.fakes import FakeCollaborators, build_coordinator
 
 from .harness import (
     ForwardingReducer,
@@ -398,6 +410,79 @@
             self.assertTrue(second.startswith(b'HTTP/1.1 502'), second)
 
 
+@attrs.define(slots=False)
+class _OneTarget(FakeCollaborators):
+    """Grants every request and sends it to one target."""
+
+    port: int = 0
+
+    def check(self, key_hash: bytes, at: float) -> Result[AccountId, Refusal]:
+        """Accept any key."""
+        return Ok(AccountId('asha'))
+
+    def admit(self, request: AdmitRequest, at: float) -> list[Output]:
+        """Assign a slot at the target."""
+        target = TargetId('t0')
+        return [
+            SlotAssigned(at, request.request_id, target, '127.0.0.1', self.port)
+        ]
+
+
+class _CoordinatedReducer(ForwardingReducer):
+    """Decides by the coordinator of requests instead of a script."""
+
+    def __init__(self, fakes: _OneTarget) -> None:
+        super().__init__()
+        self._coordinator = build_coordinator(fakes)
+
+    def decide(self, event: Event | Notice) -> list[Effect]:
+        """Return the effects of an event and of the notices it causes."""
+        effects: list[Effect] = []
+        for output in self._coordinator.handle(event):
+            if isinstance(output, Notice):
+                effects += self.decide(output)
+            else:
+                effects.append(output)
+        return effects
+
+
+class UnconfirmedRefusalTest(testtools.TestCase):
+    """A target refuses a request without stating that it did not run."""
+
+    @parameterized.expand(
+        [
+            ('408', b'408 Timeout', b'', b'502'),
+            ('429', b'429 Too Many', b'', b'502'),
+            ('503', b'503 Failed', b'', b'502'),
+            ('503_stated', b'503 Full', b'Not-Executed: 1\r\n', b'503'),
+            ('500', b'500 Failed', b'', b'500'),
+        ]
+    )
+    def test_request_that_runs_once(
+        self, _: str, status: bytes, line: bytes, expected: bytes
+    ) -> None:
+        """Guards against "not run" for a request that may have run."""
+        interface = _INTERFACES[1]
+        response = interface.build_response(status, line, b'own')
+        fakes = _OneTarget(retries=0)
+        request = interface.build_request().replace(
+            b'POST /a HTTP/1.1\r\n',
+            b'POST /pay HTTP/1.1\r\nAuthorization: Token k\r\n',
+        )
+
+        async def scenario() -> bytes:
+            async with (
+                run_target(respond_once(response)) as fakes.port,
+                run_gateway(
+                    _CoordinatedReducer(fakes), interface.dialect
+                ) as fixture,
+            ):
+                return await fixture.send_raw(request)
+
+        reply = asyncio.run(scenario())
+        self.assertEqual(expected, reply[9:12], reply)
+
+
 class CutResponseTest(testtools.TestCase):
     """A target closes its connection within a response."""
 
