--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,8 +30,8 @@
 def _freeze_heap() -> None:
     """Exempt the objects of earlier modules from garbage collection.
 
-    A collection of the whole heap takes up to 0.2 s, close to the limits of
-    tests that measure delays. The daemon exempts its startup objects, too.
+    A collection of the whole heap takes up to 0.3 s, longer than the limits of
+    some tests that measure delays. The daemon exempts its startup objects, too.
     """
     gc.collect()
     gc.freeze()
