Limit the lines of a response head and of trailers

Callers: with 24 answers at once whose heads have 20,000 short lines, requests to another target took up to 4.5 s (head) and 3.7 s (interim responses), or had no answer within 5 s (trailers).

Cause: heads and trailers were limited in bytes, but parsing costs the same for each line, and a complete head is parsed in one step.

Change: at most 256 lines in an incomplete head or trailers and 256 headers in all interim responses to a request. Bytes with more lines are parsed 1 KiB at a time. The parser is a class of its own.

--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -10,11 +10,13 @@
 import h11
 import httpx
 
+from .response_parser import ResponseParser
+
 Address: TypeAlias = tuple[str, int]
 
-# Largest head of a response, and of the framing between two chunks.
-_MAX_HEAD_BYTES: Final = 102_400
 _MAX_INTERIM_RESPONSES: Final = 32
+# Most headers of all interim responses to a request.
+_MAX_INTERIM_HEADERS: Final = 256
 # Reading pauses while more than this waits for its consumer.
 _MAX_UNREAD_BYTES: Final = 16_384
 # Largest part of a body that is returned at once.
@@ -23,7 +25,6 @@
 _CHUNKS_PER_TURN: Final = 64
 # Least time between two turns for bodies of small chunks.
 _TURN_INTERVAL_S: Final = 0.01
-_ENDED_STATES: Final = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 # Small, so that many connections with long bodies share the event loop.
 _RECEIVE_BUFFER_BYTES: Final = 16_384
 # Shared by all connections, since received bytes are copied at once.
@@ -79,9 +80,7 @@
         # Chunks, and their bytes, since the last turn.
         self._chunks = 0
         self._chunk_bytes = 0
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
+        self._parser = ResponseParser()
         self._socket: asyncio.Transport | None = None
         self._in_use = False
         self._unread_bytes = 0
@@ -141,7 +140,7 @@
 
     async def read_body(self) -> bytes:
         """Return what is received of the body, empty at its end."""
-        if self._http.their_state in _ENDED_STATES:
+        if self._parser.has_ended:
             return b''
         if self._chunks >= _CHUNKS_PER_TURN:
             await self._finish_turn()
@@ -158,14 +157,10 @@
 
     def end_response(self) -> None:
         """Make it usable again, or close it if that isn't safe."""
-        is_done = (
-            self._http.our_state is h11.DONE
-            and self._http.their_state is h11.DONE
-        )
-        if not is_done or self._ended or self._http.trailing_data[0]:
+        if self._ended or not self._parser.is_reusable:
             self.abort()
             return
-        self._http.start_next_cycle()
+        self._parser.expect_next()
         self._unread_bytes = 0
         self._chunks = 0
         self._chunk_bytes = 0
@@ -203,7 +198,7 @@
         if not self._in_use:
             self.abort()
             return
-        self._http.receive_data(bytes(_RECEIVE_BUFFER[:nbytes]))
+        self._parser.receive(bytes(_RECEIVE_BUFFER[:nbytes]))
         self._unread_bytes += nbytes
         if self._unread_bytes > _MAX_UNREAD_BYTES and self._socket is not None:
             self._paused = True
@@ -216,7 +211,7 @@
         It completes a response without a length.
         """
         if self._in_use and not self._ended:
-            self._http.receive_data(b'')
+            self._parser.receive_end()
         self._end()
         return False
 
@@ -271,10 +266,7 @@
 
     async def _write(self, event: h11.Event) -> bool:
         """Write a part of the request; return False if the connection ended."""
-        try:
-            raw = self._http.send(event)
-        except h11.LocalProtocolError as error:
-            raise httpx.LocalProtocolError(str(error)) from error
+        raw = self._parser.encode(event)
         await self._writable.wait()
         if self._socket is None or self._ended or self._socket.is_closing():
             return False
@@ -285,11 +277,17 @@
     async def _read_final_response(self) -> h11.Event:
         event = await self._read_event()
         interim = 0
+        headers = 0
         while isinstance(event, h11.InformationalResponse):
             interim += 1
-            if interim > _MAX_INTERIM_RESPONSES:
+            headers += len(event.headers)
+            if (
+                interim > _MAX_INTERIM_RESPONSES
+                or headers > _MAX_INTERIM_HEADERS
+            ):
                 raise httpx.RemoteProtocolError(
-                    f'expected a response, got {interim} interim ones'
+                    f'expected a response, got {interim} interim ones '
+                    f'with {headers} headers'
                 )
             event = await self._read_event()
         return event
@@ -319,11 +317,7 @@
     def _next_event(self) -> h11.Event | None:
         """Return the next part of the response, None until it is received."""
         self._received.clear()
-        try:
-            event = self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise httpx.RemoteProtocolError(str(error)) from error
-        return None if isinstance(event, type) else event
+        return self._parser.next_event()
 
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -245,6 +245,8 @@
 # A VM of 300 MB holds the answers of a few hundred targets.
 MAX_HELD_BYTES = 524_288
 SMALL_CHUNK = b'1\r\nx\r\n'
+# Close to the limit of a head; a line costs the same whatever its length.
+MANY_LINES = b'x:y\r\n' * 20_000 + b'\r\n'
 ENDS_BY_CLOSE = attrs.evolve(DEFAULT_DIALECT, accept_close_delimited=True)
 FAST_ANSWERS = (
     ('chunks_of_1', CHUNKED, SMALL_CHUNK),
@@ -254,6 +256,9 @@
     ('large_chunks', CHUNKED, b'1000\r\n' + CHUNK + b'\r\n'),
     ('no_length', HEAD + b'\r\n', CHUNK),
     ('interim_answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    ('header_lines', CHUNKED[:-2] + MANY_LINES, SMALL_CHUNK),
+    ('interim_lines', b'', b'HTTP/1.1 103 Early Hints\r\n' + MANY_LINES),
+    ('trailer_lines', CHUNKED + SMALL_CHUNK + b'0\r\n' + MANY_LINES, b'x'),
 )
 
 
