Queue bodies of small chunks by target instead of reserving times

Callers: with 100 endless answers of small chunks in progress, a valid answer of 128 small chunks from another target took 2.0 s, and 1.0 s when the callers of the endless ones had left.

Cause: turns were reserved as times in the order of requests. The reservation of a cancelled response stayed, and one target could hold any number.

Change: waiting responses are queued by target address, the addresses take turns, and a cancelled response needs none. The interval is as before.

--- a/src/cranberryseam/serving/caller_connections.py
+++ b/src/cranberryseam/serving/caller_connections.py
@@ -26,6 +26,9 @@
 # checked before all of them are parsed.
 _PART_BYTES: Final = 1024
 _LINE_END: Final = b'\n'
+# New connections of an address are a group apart, so that they don't wait for
+# those that flood.
+_NEW: Final = 'new'
 _log = logging.getLogger(__name__)
 
 
@@ -78,7 +81,7 @@
     ) -> tuple[_CallerReader, asyncio.StreamWriter]:
         address = str(connection.getpeername()[0])
         # A new connection may bring a request, so its start takes a turn, too.
-        await self._turns.wait(address, is_new=True)
+        await self._turns.wait((address, _NEW))
         loop = asyncio.get_running_loop()
         reader = _CallerReader(Usage(self._turns, address))
         protocol = asyncio.StreamReaderProtocol(reader)
--- a/src/cranberryseam/serving/connection_pool.py
+++ b/src/cranberryseam/serving/connection_pool.py
@@ -13,7 +13,8 @@
 
 from .asgi import HeaderList
 from .headers import HOST
-from .target_transport import Address, ParsingSchedule, TargetTransport
+from .target_transport import Address, TargetTransport
+from .turns import TurnQueue
 
 # Several round trips between regions. TCP retransmits a lost SYN only after a
 # second; no request was sent by then, so another target is tried sooner.
@@ -27,6 +28,10 @@
 # A round trip between regions takes 60 ms; failing work takes longer than this.
 _RESET_DETECTION_S = 0.1
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'(?:^|[ ,])timeout=(\d{1,5})')
+# Least time between two turns for bodies of small chunks. The cost of parsing
+# and forwarding is that of a chunk, so a target that sends small chunks without
+# end could occupy the event loop.
+_TURN_INTERVAL_S = 0.01
 # Above the number of targets of one VM.
 _ADDRESS_CACHE_SIZE = 16_384
 
@@ -143,7 +148,7 @@
         self._clock = clock
         self._idle: dict[Address, list[TargetConnection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
-        self._schedule = ParsingSchedule()
+        self._turns = TurnQueue(_TURN_INTERVAL_S)
 
     def acquire(
         self, address: Address, max_idle_s: float = math.inf
@@ -166,7 +171,7 @@
             return connection
         # The most recently used connection comes last, so if it is too old, all
         # others are too. ``close_expired`` closes them.
-        transport = TargetTransport(address, CONNECT_TIMEOUT_S, self._schedule)
+        transport = TargetTransport(address, CONNECT_TIMEOUT_S, self._turns)
         return TargetConnection(address, transport, now)
 
     def was_closed_idle(self, connection: TargetConnection) -> bool:
--- a/src/cranberryseam/serving/target_transport.py
+++ b/src/cranberryseam/serving/target_transport.py
@@ -11,6 +11,7 @@
 import httpx
 
 from .response_parser import ResponseParser
+from .turns import TurnQueue
 
 Address: TypeAlias = tuple[str, int]
 
@@ -23,33 +24,12 @@
 _MAX_PART_BYTES: Final = 65_536
 # Chunks of a body that are parsed before other tasks get a turn.
 _CHUNKS_PER_TURN: Final = 64
-# Least time between two turns for bodies of small chunks.
-_TURN_INTERVAL_S: Final = 0.01
 # Small, so that many connections with long bodies share the event loop.
 _RECEIVE_BUFFER_BYTES: Final = 16_384
 # Shared by all connections, since received bytes are copied at once.
 _RECEIVE_BUFFER: Final = memoryview(bytearray(_RECEIVE_BUFFER_BYTES))
 
 
-class ParsingSchedule:
-    """Turns of all connections of a process for bodies of small chunks.
-
-    The costs of parsing and forwarding are those of a chunk, so a target that
-    sends small chunks without end could occupy the event loop.
-    """
-
-    def __init__(self) -> None:
-        """Create a schedule without turns."""
-        self._next_at: float = 0
-
-    async def wait_for_turn(self) -> None:
-        """Wait until the next free turn."""
-        now = asyncio.get_running_loop().time()
-        turn_at = max(now, self._next_at)
-        self._next_at = turn_at + _TURN_INTERVAL_S
-        await asyncio.sleep(turn_at - now)
-
-
 class TargetTransport(httpx.AsyncBaseTransport, asyncio.BufferedProtocol):
     """A single connection, used by one request at a time.
 
@@ -62,8 +42,9 @@
         Address of the target.
     connect_timeout_s
         Limit for the connection.
-    schedule
-        Shared by all connections of the process.
+    turns
+        Turns of bodies of small chunks; shared by all connections of the
+        process.
 
     """
 
@@ -71,12 +52,12 @@
         self,
         address: Address,
         connect_timeout_s: float,
-        schedule: ParsingSchedule,
+        turns: TurnQueue,
     ) -> None:
         """Create a transport that connects with its first request."""
         self._address = address
         self._connect_timeout_s = connect_timeout_s
-        self._schedule = schedule
+        self._turns = turns
         # Chunks, and their bytes, since the last turn.
         self._chunks = 0
         self._chunk_bytes = 0
@@ -180,7 +161,7 @@
         """Close it and return a new one to the same target."""
         self.abort()
         return TargetTransport(
-            self._address, self._connect_timeout_s, self._schedule
+            self._address, self._connect_timeout_s, self._turns
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -298,7 +279,7 @@
         self._chunks = 0
         self._chunk_bytes = 0
         if is_small:
-            await self._schedule.wait_for_turn()
+            await self._turns.wait(self._address)
 
     async def _read_event(self) -> h11.Event:
         event = self._next_event()
@@ -355,4 +336,4 @@
     return bool(poll.poll(0))
 
 
-__all__ = ('Address', 'ParsingSchedule', 'TargetTransport')
+__all__ = ('Address', 'TargetTransport')
--- a/src/cranberryseam/serving/turns.py
+++ b/src/cranberryseam/serving/turns.py
@@ -1,4 +1,4 @@
-"""Turns of connections that keep the event loop busy."""
+"""Turns of those who keep the event loop busy."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 import time
 import types
 from collections import deque
-from collections.abc import Awaitable, Generator, Mapping
+from collections.abc import Awaitable, Generator, Hashable, Mapping
 from functools import partial
-from typing import Any, Final, TypeAlias, TypeVar, cast
+from typing import Any, Final, TypeVar, cast
 
 import attrs
 
@@ -17,44 +17,58 @@
 # Time on the event loop after which a connection waits for its next turn.
 _TURN_S: Final = 0.001
 _Returned = TypeVar('_Returned')
-# Address of a caller, and whether the connections are new.
-_Group: TypeAlias = tuple[str, bool]
 
 
 class TurnQueue:
-    """Grants one turn in each iteration of the event loop.
+    """Grants turns on the event loop one after another.
+
+    Groups take turns, so that one with many members doesn't delay others.
+
+    Parameters
+    ----------
+    interval_s
+        Least time between two turns; with 0, one turn is granted in each
+        iteration of the event loop.
 
-    The addresses of callers take turns, so that an address with many
-    connections doesn't delay others; so do the new connections of an address
-    and those that it goes on with. Without other work the next turn follows at
-    once.
     """
 
-    def __init__(self) -> None:
-        """Start without waiting connections."""
-        self._waiting: dict[_Group, deque[asyncio.Future[None]]] = {}
+    def __init__(self, interval_s: float = 0) -> None:
+        """Start without waiting members."""
+        self._interval_s = interval_s
+        self._next_at: float = 0
+        self._waiting: dict[Hashable, deque[asyncio.Future[None]]] = {}
         self._is_granting = False
 
-    async def wait(self, address: str, *, is_new: bool = False) -> None:
-        """Wait for a turn of a connection from an address."""
-        loop = asyncio.get_running_loop()
-        turn = loop.create_future()
-        self._waiting.setdefault((address, is_new), deque()).append(turn)
+    async def wait(self, group: Hashable) -> None:
+        """Wait for a turn of a member of a group."""
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.setdefault(group, deque()).append(turn)
         if not self._is_granting:
             self._is_granting = True
-            loop.call_soon(self._grant)
+            self._schedule_grant()
         await turn
 
+    def _schedule_grant(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._next_at > loop.time():
+            loop.call_at(self._next_at, self._grant)
+        else:
+            loop.call_soon(self._grant)
+
     def _grant(self) -> None:
         granted = False
         while self._waiting and not granted:
             turn = self._take_next()
+            # A cancelled member needs no turn.
             granted = not turn.done()
             if granted:
                 turn.set_result(None)
+        if granted and self._interval_s:
+            now = asyncio.get_running_loop().time()
+            self._next_at = now + self._interval_s
         self._is_granting = bool(self._waiting)
         if self._is_granting:
-            asyncio.get_running_loop().call_soon(self._grant)
+            self._schedule_grant()
 
     def _take_next(self) -> asyncio.Future[None]:
         group = next(iter(self._waiting))
@@ -73,19 +87,19 @@
     ----------
     queue
         Shared by all connections.
-    address
-        Address of the caller.
+    group
+        Group of the connection.
 
     """
 
     queue: TurnQueue
-    address: str
+    group: Hashable
     used_s: float = 0
 
     async def wait_for_turn(self) -> None:
         """Wait for the next turn if the current one is used up."""
         if self.used_s > _TURN_S:
-            await self.queue.wait(self.address)
+            await self.queue.wait(self.group)
             self.used_s = 0
 
     def end(self) -> None:
--- a/tests/serving/test_endless_answers.py
+++ b/tests/serving/test_endless_answers.py
@@ -14,10 +14,12 @@
 import testtools
 from parameterized import parameterized
 
+from cranberryseam.core.effects import CancelAttempt, Effect
 from cranberryseam.core.events import (
     AnswerEnded,
     AnswerReady,
     AttemptFailed,
+    CallerConnectionClosed,
     RequestArrived,
 )
 from cranberryseam.serving.dialect import DEFAULT_DIALECT
@@ -401,3 +403,67 @@
         load = asyncio.run(measure_load(prefix, chunk, traced=True))
         self.assertLess(load.held_bytes / ENDLESS_REQUESTS, MAX_HELD_BYTES)
         self.assertEqual([], load.find_failures())
+
+
+# A valid answer of more chunks than are parsed in one turn.
+SMALL_CHUNKS = CHUNKED + 128 * SMALL_CHUNK + b'0\r\n\r\n'
+WAITING_REQUESTS = 100
+
+
+async def start_endless_answers(
+    fixture: GatewayFixture,
+) -> list[asyncio.StreamWriter]:
+    """Send requests that get endless answers."""
+    writers = []
+    for _ in range(WAITING_REQUESTS):
+        _, writer = await asyncio.open_connection('127.0.0.1', fixture.port)
+        writer.write(GET)
+        writers.append(writer)
+    await fixture.reducer.wait_for(RequestArrived, WAITING_REQUESTS)
+    await asyncio.sleep(TIMEOUT_S)
+    return writers
+
+
+async def measure_small_chunks(*, callers_leave: bool) -> Load:
+    """Call a target with small chunks after requests for endless answers."""
+    reducer = ForwardingReducer()
+
+    def choose(event: RequestArrived) -> list[Effect]:
+        number = len(reducer.events_of(RequestArrived))
+        port = endless_port if number <= WAITING_REQUESTS else valid_port
+        start = reducer.start(event.request_id, number)
+        return [attrs.evolve(start, port=port)]
+
+    def cancel(event: CallerConnectionClosed) -> list[Effect]:
+        # Requests and attempts have the same numbers.
+        return [CancelAttempt(event.request_id, event.request_id)]
+
+    reducer.rules = {RequestArrived: choose, CallerConnectionClosed: cancel}
+    with run_endless_threads(CHUNKED, SMALL_CHUNK) as endless_port:
+        async with (
+            run_target(respond_once(SMALL_CHUNKS)) as valid_port,
+            run_gateway(reducer) as fixture,
+        ):
+            writers = await start_endless_answers(fixture)
+            if callers_leave:
+                for writer in writers:
+                    writer.transport.abort()
+                await reducer.wait_for(CallerConnectionClosed, WAITING_REQUESTS)
+            started_at = time.monotonic()
+            reply = await fixture.send_raw(GET)
+            return Load((reply,), (time.monotonic() - started_at,))
+
+
+class SmallChunksTest(testtools.TestCase):
+    """A target sends a valid answer of small chunks, another endless ones."""
+
+    @parameterized.expand([('left', True), ('in_progress', False)])
+    def test_valid_answer(self, _: str, callers_leave: bool) -> None:
+        """Guards against a valid answer that waits for all endless ones.
+
+        It also waited for those whose callers had left, since their turns
+        stayed reserved.
+        """
+        load = asyncio.run(measure_small_chunks(callers_leave=callers_leave))
+        self.assertTrue(load.replies[0].endswith(b'\r\n0\r\n\r\n'))
+        self.assertLess(max(load.durations_s), MAX_OTHER_DURATION_S)
--- a/tests/serving/test_turns.py
+++ b/tests/serving/test_turns.py
@@ -9,6 +9,8 @@
 
 from cranberryseam.serving.turns import TurnQueue
 
+INTERVAL_S = 0.05
+
 
 async def collect_turns(addresses: str, cancelled: str) -> list[str]:
     """Return the address that gets a turn in each iteration of the loop."""
@@ -61,3 +63,21 @@
                 await asyncio.sleep(0)
 
         asyncio.run(scenario())
+
+    def test_interval(self) -> None:
+        """Turns are apart, but members that left cause no pause."""
+
+        async def scenario() -> float:
+            queue = TurnQueue(interval_s=INTERVAL_S)
+            await queue.wait('a')
+            started_at = asyncio.get_running_loop().time()
+            left = [asyncio.create_task(queue.wait('a')) for _ in range(100)]
+            await asyncio.sleep(0)
+            for task in left:
+                task.cancel()
+            await queue.wait('a')
+            return asyncio.get_running_loop().time() - started_at
+
+        duration_s = asyncio.run(scenario())
+        self.assertGreater(duration_s, INTERVAL_S / 2)
+        self.assertLess(duration_s, 10 * INTERVAL_S)
