Interrupt callers whose bytes are handled in one step

Cause: reading doesn't wait while received bytes are there, so one step handled all of them, and its time was counted at its end only. A part had up to 64 KiB.

Evidence: the cases http2_pings and http2_updates of FloodingCallersTest (goal 0.25 s); the sizes of parts, which never shrank.

Change: the time of the current step counts. A turn takes 0.5 ms.

Accepted connections have their first turn before a stopping server closes connections (StopUnderLoadTest: 6 requests were cut off, beside other load). The reader refuses a head that is too large before the server does, so it gets a 400 as before, not a 431.

--- a/src/cranberryseam/serving/listener.py
+++ b/src/cranberryseam/serving/listener.py
@@ -69,13 +69,17 @@
         Returns when no more connections should be accepted.
 
     """
-    config = _build_config(limits)
-    connections = CallerConnections(app, config)
+    # Heads slightly above the limit get a problem document.
+    max_head_bytes = 2 * limits.most_header_bytes
+    connections = CallerConnections(app, _build_config(), max_head_bytes)
     with _accept(listener, connections.add):
         await wait_for_stop()
-    linger_s = min(_LINGER_S, limits.exit_s * _MAX_LINGER_SHARE)
-    await asyncio.sleep(linger_s)
-    await connections.close(limits.exit_s - linger_s)
+    loop = asyncio.get_running_loop()
+    exit_at = loop.time() + limits.exit_s
+    max_linger_s = limits.exit_s * _MAX_LINGER_SHARE
+    await connections.wait_until_open(max_linger_s)
+    await asyncio.sleep(min(_LINGER_S, max_linger_s))
+    await connections.close(exit_at - loop.time())
 
 
 @contextmanager
@@ -145,7 +149,7 @@
             return None
 
 
-def _build_config(limits: RequestSettings) -> Config:
+def _build_config() -> Config:
     config = Config()
     config.errorlog = _log
     config.accesslog = None
@@ -153,9 +157,6 @@
     config.include_date_header = False
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
-    # Twice the header limit: headers slightly above the limit get a problem
-    # document, while larger ones get a plain 400 from the server.
-    config.h11_max_incomplete_size = 2 * limits.most_header_bytes
     return config
 
 
--- a/src/cranberryseam/serving/turns.py
+++ b/src/cranberryseam/serving/turns.py
@@ -15,7 +15,7 @@
 from .asgi import App, Receive, Scope, Send
 
 # Time on the event loop after which a connection waits for its next turn.
-_TURN_S: Final = 0.001
+_TURN_S: Final = 0.0005
 _Returned = TypeVar('_Returned')
 
 
@@ -94,17 +94,38 @@
 
     queue: TurnQueue
     group: Hashable
-    used_s: float = 0
+    _used_s: float = 0
+    _step_started_at: float | None = None
+
+    @property
+    def turn_share(self) -> float:
+        """Part of the current turn that is used; above 1 it is over."""
+        step_s: float = 0
+        if self._step_started_at is not None:
+            step_s = time.perf_counter() - self._step_started_at
+        return (self._used_s + step_s) / _TURN_S
 
     async def wait_for_turn(self) -> None:
-        """Wait for the next turn if the current one is used up."""
-        if self.used_s > _TURN_S:
+        """Wait for the next turn if the current one is over."""
+        if self.turn_share > 1:
             await self.queue.wait(self.group)
-            self.used_s = 0
+            self.restart()
+
+    def restart(self) -> None:
+        """Start a turn, also when the caller has nothing more to handle."""
+        self._used_s = 0
+        if self._step_started_at is not None:
+            self._step_started_at = time.perf_counter()
+
+    def start_step(self) -> None:
+        """Record that the event loop runs a step."""
+        self._step_started_at = time.perf_counter()
 
-    def end(self) -> None:
-        """Record that the caller has nothing more to handle."""
-        self.used_s = 0
+    def end_step(self) -> None:
+        """Add the time of the step."""
+        if self._step_started_at is not None:
+            self._used_s += time.perf_counter() - self._step_started_at
+            self._step_started_at = None
 
     def measure(self, awaitable: Awaitable[_Returned]) -> Awaitable[_Returned]:
         """Count the time that an awaitable occupies the event loop."""
@@ -147,13 +168,13 @@
     """Run the steps of an awaitable as they are, and add their times."""
     step = partial(next, steps)
     while True:
-        started_at = time.perf_counter()
+        usage.start_step()
         try:
             waits_for = step()
         except StopIteration as end:
             return cast('_Returned', end.value)
         finally:
-            usage.used_s += time.perf_counter() - started_at
+            usage.end_step()
         try:
             yield waits_for
         except BaseException as error:
--- a/tests/serving/test_flooding_callers.py
+++ b/tests/serving/test_flooding_callers.py
@@ -38,6 +38,9 @@
 FLOOD = b'POST /flood HTTP/1.1\r\nHost: h\r\n'
 CHUNKS = b'1\r\nx\r\n' * 30_000
 LINES = b'x:y\r\n' * 6000
+HTTP2 = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0'
+PING = b'\0\0\x08\6\0\0\0\0\0' + bytes(8)
+WINDOW_UPDATE = b'\0\0\4\x08\0\0\0\0\0\0\0\0\1'
 FLOODS = (
     (
         'chunks_of_1',
@@ -50,6 +53,8 @@
     ),
     ('pipelined', b'GET /flood HTTP/1.1\r\nHost: h\r\n\r\n' * 500),
     ('reserved_path', b'GET /-/x HTTP/1.1\r\nHost: h\r\n\r\n' * 500),
+    ('http2_pings', HTTP2 + PING * 10_000),
+    ('http2_updates', HTTP2 + WINDOW_UPDATE * 10_000),
 )
 
 
